Give each test program one generated main

Cause: with BOOST_TEST_MODULE set for every file, a package with two test files failed to link: main and init_unit_test were defined twice. Change: the package function generates one file with the module name; the test files only see BOOST_TEST_DYN_LINK. Conclusion: platform_test with two test files and base_test link and pass.

--- a/cmake/jasminepath_package.cmake
+++ b/cmake/jasminepath_package.cmake
@@ -40,11 +40,14 @@
 
   file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cc)
   if(tests)
-    add_executable(${ARG_NAME}_test ${tests})
+    # One generated file holds main(), so that any number of test files can be linked together.
+    set(test_main ${CMAKE_CURRENT_BINARY_DIR}/test_main.cc)
+    file(CONFIGURE OUTPUT ${test_main} CONTENT
+         "#define BOOST_TEST_MODULE ${ARG_NAME}\n#include <boost/test/unit_test.hpp>\n" @ONLY)
+    add_executable(${ARG_NAME}_test ${tests} ${test_main})
     target_include_directories(${ARG_NAME}_test PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src
                                ${CMAKE_CURRENT_SOURCE_DIR}/tests)
     target_compile_definitions(${ARG_NAME}_test PRIVATE BOOST_TEST_DYN_LINK
-                               BOOST_TEST_MODULE=${ARG_NAME}
                                JASMINEPATH_SOURCE_DIR="${CMAKE_SOURCE_DIR}")
     target_link_libraries(${ARG_NAME}_test PRIVATE ${library} Boost::unit_test_framework
                           rapidcheck ${ARG_LIBRARIES} ${ARG_TEST_LIBRARIES})
