--- a/packages/platform/src/circuit_breaker.cc
+++ b/packages/platform/src/circuit_breaker.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <random>
-#include <utility>
 
 namespace jasminepath::platform {
 namespace {
@@ -14,7 +13,7 @@
 
 circuit_breaker::circuit_breaker(circuit_breaker_limits limits,
                                  random_engine random)
-    : limits_(limits), random_(std::move(random)) {}
+    : limits_(limits), random_(random) {}
 
 bool circuit_breaker::TryAcquire(time_point now) {
   if (!open_)
