--- /dev/null
+++ b/packages/decision/include/jasminepath/decision/fleet/share_record.h
@@ -0,0 +1,46 @@
+#ifndef JASMINEPATH_DECISION_FLEET_SHARE_RECORD_H_
+#define JASMINEPATH_DECISION_FLEET_SHARE_RECORD_H_
+
+#include <cstdint>
+#include <vector>
+
+#include "jasminepath/base/ids.h"
+
+namespace jasminepath::decision {
+
+// The whole of a team's rate in parts per million.
+inline constexpr int64_t kWholeSharePpm = 1'000'000;
+
+// The part of a team's rate and burst that one instance may admit.
+struct share_part {
+  instance_id instance;
+  int64_t ppm = 0;
+
+  friend bool operator==(const share_part&, const share_part&) = default;
+};
+
+// The row of a team's shares. Instances appear once, in the order of their ids;
+// the parts add up to at most `kWholeSharePpm`. What is missing to the whole
+// belongs to nobody.
+struct share_record {
+  std::vector<share_part> parts;
+
+  friend bool operator==(const share_record&, const share_record&) = default;
+};
+
+// The part of `instance`, 0 if it has none.
+int64_t PartOf(const share_record& record, const instance_id& instance);
+
+// Sum of all parts.
+int64_t TotalPpm(const share_record& record);
+
+// Sets the part of `instance`; 0 removes it.
+void SetPart(share_record& record, const instance_id& instance, int64_t ppm);
+
+// Whether the record keeps its promises: positive parts, ordered and unique
+// instances, and a sum of at most the whole.
+bool IsValid(const share_record& record);
+
+}  // namespace jasminepath::decision
+
+#endif  // JASMINEPATH_DECISION_FLEET_SHARE_RECORD_H_
