Let an order only raise the fence

Cause: the owner of a VM raises the engine's fencing number before it reads back what is resident, and no existing order does that without a side effect. Change: order_action::fence, sent as "fence" in POST /engine/orders. Conclusion: the engine stand-in has to accept the action as well.

--- a/packages/endpoint/include/jasminepath/endpoint/engine_types.h
+++ b/packages/endpoint/include/jasminepath/endpoint/engine_types.h
@@ -55,8 +55,9 @@
   friend bool operator==(const engine_status&, const engine_status&) = default;
 };
 
-// What an order asks of an engine.
+// What an order asks of an engine. `fence` only raises the highest epoch seen.
 enum class order_action {
+  fence,
   load_model,
   unload_model,
   load_adapter,
--- a/packages/endpoint/src/engine_client.cc
+++ b/packages/endpoint/src/engine_client.cc
@@ -190,6 +190,8 @@
 
 std::string_view ToString(order_action action) {
   switch (action) {
+    case order_action::fence:
+      return "fence";
     case order_action::load_model:
       return "load_model";
     case order_action::unload_model:
