--- /dev/null
+++ b/packages/standin/src/weight_store.cc
@@ -0,0 +1,62 @@
+#include "weight_store.h"
+
+#include <algorithm>
+
+namespace jasminepath::standin {
+namespace {
+
+constexpr double kModelLoadsAtFullSpeed = 4;
+constexpr double kAdapterLoadsAtFullSpeed = 32;
+// Progress is worked out in steps no longer than this, so that a load's end
+// speeds up the rest in time.
+constexpr duration kLongestStep = Milliseconds(5);
+
+}  // namespace
+
+double weight_store::Speed(load_kind kind) const {
+  const auto running =
+      std::count_if(loads_.begin(), loads_.end(), [&](const auto& entry) {
+        return entry.second.kind == kind && entry.second.left > duration(0);
+      });
+  const double limit = kind == load_kind::model ? kModelLoadsAtFullSpeed
+                                                : kAdapterLoadsAtFullSpeed;
+  return std::min(1.0, limit / std::max<double>(1, running));
+}
+
+void weight_store::Advance(double slow_factor, time_point now) {
+  while (advanced_to_ < now) {
+    const duration step = std::min(now - advanced_to_, kLongestStep);
+    const double model_speed = Speed(load_kind::model) / slow_factor;
+    const double adapter_speed = Speed(load_kind::adapter) / slow_factor;
+    bool any_left = false;
+    for (auto& [id, load] : loads_) {
+      const double speed =
+          load.kind == load_kind::model ? model_speed : adapter_speed;
+      load.left -= std::chrono::duration_cast<duration>(step * speed);
+      any_left = any_left || load.left > duration(0);
+    }
+    advanced_to_ = any_left ? advanced_to_ + step : now;
+  }
+}
+
+void weight_store::Begin(const std::string& id,
+                         load_kind kind,
+                         duration full_speed,
+                         time_point now) {
+  const std::lock_guard lock(mutex_);
+  Advance(1, now);
+  loads_.try_emplace(id, running_load{kind, full_speed});
+}
+
+std::optional<bool> weight_store::IsComplete(const std::string& id,
+                                             double slow_factor,
+                                             time_point now) {
+  const std::lock_guard lock(mutex_);
+  Advance(slow_factor, now);
+  const auto found = loads_.find(id);
+  if (found == loads_.end())
+    return std::nullopt;
+  return found->second.left <= duration(0);
+}
+
+}  // namespace jasminepath::standin
