Read and check settings, site files, keys and configurations

Cause: nodes and the operator's tool need one reading of every file, and an operator needs all faults of a directory at once. Change: a tree-shaped JSON value over POCO's parser, a reader that names the JSON path and the remedy of each fault and reports unknown members with the nearest known name, cross checks over all files, and codecs for configurations and team keys. Service files, site.json and the published row share one reader.

--- a/packages/config/include/jasminepath/config/json_value.h
+++ b/packages/config/include/jasminepath/config/json_value.h
@@ -48,7 +48,8 @@
   // The member of that name, or null if there is none.
   const json_value* Find(std::string_view name) const;
   // The text of a string member, or `fallback`.
-  std::string StringOr(std::string_view name, std::string fallback) const;
+  std::string StringOr(std::string_view name,
+                       const std::string& fallback) const;
   // The value of an integer member, or `fallback`.
   int64_t IntegerOr(std::string_view name, int64_t fallback) const;
 
@@ -56,6 +57,10 @@
   // "an object".
   std::string_view TypeName() const;
 
+  // Adds an item to an array, or a member to an object; `name` is only used
+  // for the latter. Does nothing to other values.
+  void Append(std::string name, json_value value);
+
   const storage& data() const { return data_; }
 
   friend bool operator==(const json_value&, const json_value&);
@@ -79,8 +84,9 @@
   friend bool operator==(const json_error&, const json_error&) = default;
 };
 
-// Parses one document. A member given twice, nesting deeper than 64 and text
-// after the document are errors.
+// Parses one document. A member given twice, nesting deeper than 64, text after
+// the document and more than 18 digits in a row are errors. Integers are exact
+// between -2^53 and 2^53.
 result<json_value, json_error> ParseJson(const std::string& text);
 
 // Writes a document on one line, or indented by `indent` spaces a level.
--- /dev/null
+++ b/packages/config/src/object_reader.h
@@ -0,0 +1,114 @@
+#ifndef JASMINEPATH_CONFIG_SRC_OBJECT_READER_H_
+#define JASMINEPATH_CONFIG_SRC_OBJECT_READER_H_
+
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "fault_collector.h"
+#include "jasminepath/base/boot_time.h"
+#include "jasminepath/base/units.h"
+#include "jasminepath/config/json_value.h"
+
+namespace jasminepath::config {
+
+// Inclusive bounds of a number.
+struct number_range {
+  int64_t minimum = 0;
+  int64_t maximum = std::numeric_limits<int64_t>::max();
+};
+
+// Longest duration that a file may hold: 30 days in milliseconds.
+inline constexpr int64_t kMaxDurationMs = int64_t{30} * 24 * 3600 * 1000;
+
+// Reads the members of one JSON object and reports what is wrong with them to
+// a collector. A getter returns its fallback, or an empty value if the member
+// is required, where it reported a fault. Finish() reports members that no
+// getter asked for.
+class object_reader {
+ public:
+  // `value` and `faults` must outlive the reader.
+  object_reader(const json_value& value,
+                std::string path,
+                fault_collector& faults);
+
+  // A required string of 1 to 512 bytes.
+  std::string String(std::string_view name);
+  std::optional<std::string> OptionalString(std::string_view name);
+  // A required name: letters, digits, '.', '_' and '-', at most 128 of them.
+  std::string Name(std::string_view name);
+  // A required "ip:port" with a port above 0.
+  std::string Address(std::string_view name);
+  std::string OptionalAddress(std::string_view name);
+  // A required "ip:port" whose port may be 0.
+  std::string ListenAddress(std::string_view name);
+
+  int64_t RequiredInteger(std::string_view name, number_range range);
+  int64_t Integer(std::string_view name, int64_t fallback, number_range range);
+  double Number(std::string_view name, double fallback, double max);
+  bool Bool(std::string_view name, bool fallback);
+  // `name` ends in "_ms".
+  duration Duration(std::string_view name, duration fallback);
+  // `name` ends in "_bytes".
+  bytes Size(std::string_view name, bytes fallback, number_range range);
+  // One of `names`; returns its index.
+  std::size_t Choice(std::string_view name,
+                     const std::vector<std::string_view>& names,
+                     std::optional<std::size_t> fallback);
+
+  // Calls `read` for each object of an optional array.
+  void Objects(std::string_view name,
+               const std::function<void(object_reader&)>& read);
+  // Calls `read` for an optional object.
+  void Object(std::string_view name,
+              const std::function<void(object_reader&)>& read);
+  // An optional array of names.
+  std::vector<std::string> Names(std::string_view name);
+  // An optional array of "ip:port" strings.
+  std::vector<std::string> Addresses(std::string_view name);
+
+  bool Has(std::string_view name) const;
+
+  // Reports a fault at a member, or at the object if `name` is empty.
+  void Report(std::string_view name, std::string problem, std::string remedy);
+
+  // Reports unknown members with the nearest known name.
+  void Finish();
+
+  const std::string& path() const { return path_; }
+
+ private:
+  const json_value* Take(std::string_view name);
+  const json_value* TakeRequired(std::string_view name);
+  const json_value::array* TakeArray(std::string_view name);
+  std::optional<std::string> Text(std::string_view name,
+                                  const json_value& value);
+  std::string CheckedAddress(const std::string& path,
+                             const json_value& value,
+                             bool port_zero_allowed);
+  int64_t CheckedInteger(std::string_view name,
+                         const json_value& value,
+                         int64_t fallback,
+                         number_range range);
+  std::string MemberPath(std::string_view name) const;
+
+  const json_value& value_;
+  std::string path_;
+  fault_collector& faults_;
+  std::vector<std::string> known_;
+};
+
+// Whether a text is a name as object_reader::Name() takes it.
+bool IsName(std::string_view text);
+
+// The candidate nearest to `text` by edit distance, or empty if none is near.
+std::string NearestName(std::string_view text,
+                        const std::vector<std::string>& candidates);
+
+}  // namespace jasminepath::config
+
+#endif  // JASMINEPATH_CONFIG_SRC_OBJECT_READER_H_
