Drive calls from arrival to end: escrow, fair queue, claims, retries

Cause: the node needs one aggregate that stands between callers and endpoints. Change: call_coordinator with its parts: team buckets whose returns rewrite the past rather than the present, token escrow with loans between peers, fair queues with two disciplines, idempotency claims, quarantine with one conditional retry, a retry budget, and the refusals with what is known of the run.

--- a/packages/decision/include/jasminepath/decision/admission/call_actions.h
+++ b/packages/decision/include/jasminepath/decision/admission/call_actions.h
@@ -102,7 +102,7 @@
 
 // Stop relaying, cancel the work at the endpoint and end the answer as an error
 // that the caller can see; when nothing has been relayed yet, as the refusal.
-// The worker still reports OnAttemptEnd.
+// If an attempt is running, the worker still reports OnAttemptEnd.
 struct cut_call {
   request_id id;
   refusal reason;
@@ -120,7 +120,8 @@
                          const publish_quarantine&) = default;
 };
 
-// The answer was relayed whole: end the caller's response cleanly.
+// The answer was relayed whole, or the caller has gone: end the caller's
+// response cleanly.
 struct finish_call {
   request_id id;
 
--- /dev/null
+++ b/packages/decision/include/jasminepath/decision/admission/call_coordinator.h
@@ -0,0 +1,297 @@
+#ifndef JASMINEPATH_DECISION_ADMISSION_CALL_COORDINATOR_H_
+#define JASMINEPATH_DECISION_ADMISSION_CALL_COORDINATOR_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "jasminepath/base/boot_time.h"
+#include "jasminepath/base/ids.h"
+#include "jasminepath/base/random.h"
+#include "jasminepath/base/refusal.h"
+#include "jasminepath/base/units.h"
+#include "jasminepath/config/configuration.h"
+#include "jasminepath/config/configuration_index.h"
+#include "jasminepath/config/team_key.h"
+#include "jasminepath/decision/admission/admission_status.h"
+#include "jasminepath/decision/admission/call_actions.h"
+#include "jasminepath/decision/admission/call_events.h"
+#include "jasminepath/decision/admission/call_resolution.h"
+#include "jasminepath/decision/admission/call_state.h"
+#include "jasminepath/decision/admission/claim_record.h"
+#include "jasminepath/decision/admission/fair_queue.h"
+#include "jasminepath/decision/admission/key_registry.h"
+#include "jasminepath/decision/admission/messages.h"
+#include "jasminepath/decision/admission/quarantine_list.h"
+#include "jasminepath/decision/admission/queue_discipline.h"
+#include "jasminepath/decision/admission/retry_budget.h"
+#include "jasminepath/decision/admission/token_escrow.h"
+#include "jasminepath/decision/routing/model_demand.h"
+#include "jasminepath/decision/routing/routing_choice.h"
+
+namespace jasminepath::decision {
+
+// Drives every call of one node from its arrival to its end: key, team,
+// quarantine, limits, tokens, idempotency claim, fair queue, attempts at
+// endpoints, retries, recording. Each event appends what is to be done to
+// `actions`, in order. Every call that arrives ends exactly once, at the latest
+// by its deadline when OnTick is called as NextDeadline asks. Not thread-safe.
+//
+// `Router` picks endpoints. `EscrowPolicy` is peer_borrowing or static_split;
+// `Discipline` orders the teams in the queues.
+template <endpoint_router Router,
+          typename EscrowPolicy = peer_borrowing,
+          queue_discipline Discipline = virtual_token_counters>
+class call_coordinator {
+ public:
+  using action_list = std::vector<call_action>;
+
+  // `self` names this run of the node. `router` must outlive the coordinator.
+  call_coordinator(instance_id self,
+                   Router& router,
+                   random_engine random,
+                   coordinator_limits limits)
+      : self_(self),
+        router_(router),
+        random_(random),
+        limits_(limits),
+        configuration_(std::make_shared<const config::configuration>()),
+        escrow_(self),
+        quarantine_(self,
+                    limits.quarantine_lifetime,
+                    static_cast<std::size_t>(limits.max_quarantine_records)),
+        retries_(limits.retry_percent, limits.fleet_retry_reserve) {}
+
+  // A configuration has come into force.
+  void OnConfiguration(std::shared_ptr<const config::configuration> source,
+                       time_point now,
+                       action_list& actions);
+
+  // A team key was given or withdrawn. Calls of a withdrawn key are refused or
+  // cut at once.
+  void OnKeyFact(const config::team_key& key,
+                 revision version,
+                 time_point now,
+                 action_list& actions);
+
+  // A committed quarantine record has reached this node.
+  void OnQuarantineFact(const quarantine_record& record,
+                        revision version,
+                        time_point now,
+                        action_list& actions);
+
+  // This node's fraction of a team's rate and burst has changed. It counts from
+  // now, so a smaller one must be told before the difference is given away.
+  void OnShare(const team_id& team,
+               int64_t fraction_ppm,
+               time_point now,
+               action_list& actions);
+
+  // The other nodes that are believed to run.
+  void OnPeers(std::vector<instance_id> peers,
+               time_point now,
+               action_list& actions);
+
+  // Whether new calls are taken, and why not. Calls that are in go on.
+  void OnReadiness(bool accepting,
+                   refusal_code why,
+                   time_point now,
+                   action_list& actions);
+
+  // A call has come. Its id must not be that of a call still known here.
+  void OnArrival(call_arrival arrival, time_point now, action_list& actions);
+
+  // The endpoint has begun to answer.
+  void OnFirstByte(const request_id& id,
+                   int64_t attempt,
+                   time_point now,
+                   action_list& actions);
+
+  // An attempt has ended; reported once for each dispatch_call.
+  void OnAttemptEnd(const request_id& id,
+                    int64_t attempt,
+                    const attempt_report& report,
+                    time_point now,
+                    action_list& actions);
+
+  // The caller has closed its connection.
+  void OnCallerGone(const request_id& id, time_point now, action_list& actions);
+
+  // Results of commit_claim, read_claim, record_answer and publish_quarantine.
+  void OnClaimOutcome(const request_id& id,
+                      const claim_write_outcome& outcome,
+                      time_point now,
+                      action_list& actions);
+  void OnClaimRead(const request_id& id,
+                   const claim_read_outcome& outcome,
+                   time_point now,
+                   action_list& actions);
+  void OnAnswerRecorded(const request_id& id,
+                        record_status status,
+                        time_point now,
+                        action_list& actions);
+  void OnQuarantineOutcome(const request_fingerprint& fingerprint,
+                           const quarantine_write_outcome& outcome,
+                           time_point now,
+                           action_list& actions);
+
+  // A peer's message.
+  void OnAdmissionMessage(const instance_id& from,
+                          const admission_message& message,
+                          time_point now,
+                          action_list& actions);
+
+  // The router may pick otherwise now.
+  void OnRoutesChanged(time_point now, action_list& actions);
+
+  void OnTick(time_point now, action_list& actions);
+
+  // When the next OnTick is needed; nothing while nothing is timed.
+  std::optional<time_point> NextDeadline() const;
+
+  // What this node's callers ask of each model that has been asked for.
+  std::vector<model_demand> Demand(time_point now) const;
+
+  // What the status page and the metrics show.
+  admission_status Status(time_point now);
+
+  // Whether the key may be used; for checks while an answer is relayed.
+  bool IsKeyValid(const key_id& key) const { return keys_.IsValid(key); }
+
+  // Calls that have not ended, and those with an attempt at an endpoint.
+  int64_t open_calls() const { return open_calls_; }
+
+ private:
+  using queue_type = fair_queue<Discipline>;
+
+  struct service_queue {
+    explicit service_queue(std::size_t limit) : calls(limit) {}
+
+    queue_type calls;
+    int64_t priority = 1;
+    int64_t running = 0;
+    int64_t arrivals = 0;
+  };
+  struct team_counters {
+    int64_t admitted = 0;
+    int64_t answered = 0;
+    tokens used;
+    std::map<refusal_code, int64_t> refusals;
+  };
+
+  call_state* Find(const request_id& id);
+  service_queue& QueueOf(const call_state& call);
+  bool IsLive(const instance_id& instance) const;
+  std::string MakeNonce();
+
+  // Steps from arrival to dispatch.
+  void RefuseArrival(const call_arrival& arrival,
+                     const team_id& team,
+                     refusal reason,
+                     action_list& actions);
+  void Admit(call_arrival arrival,
+             resolved_call resolved,
+             time_point now,
+             action_list& actions);
+  void BeginTrial(call_state& call, time_point now);
+  void Reserve(call_state& call, time_point now, action_list& actions);
+  void OnReserved(call_state& call, time_point now, action_list& actions);
+  void OnNotReserved(call_state& call,
+                     const reservation_refusal& why,
+                     time_point now,
+                     action_list& actions);
+  void BeginClaim(call_state& call, time_point now, action_list& actions);
+  void Enqueue(call_state& call, time_point now, action_list& actions);
+  void ServeQueue(const queue_id& id, time_point now, action_list& actions);
+  void Dispatch(call_state& call,
+                const routing_choice& choice,
+                time_point now,
+                action_list& actions);
+
+  // Steps after an attempt.
+  void CloseAttempt(call_state& call,
+                    const attempt_report& report,
+                    time_point now);
+  void NoteDeath(call_state& call, bool wants_retry, time_point now);
+  void OnTrialGranted(call_state& call, time_point now, action_list& actions);
+  void OnTrialDenied(call_state& call, time_point now, action_list& actions);
+  bool MayRetry(const call_state& call, time_point now);
+  void Retry(call_state& call, time_point now, action_list& actions);
+  void FailAttempt(call_state& call, time_point now, action_list& actions);
+
+  // Ends of a call.
+  void Finish(call_state& call, time_point now, action_list& actions);
+  void Fail(call_state& call,
+            refusal reason,
+            time_point now,
+            action_list& actions);
+  void Replay(call_state& call,
+              const std::string& object,
+              time_point now,
+              action_list& actions);
+  void End(call_state& call, time_point now, action_list& actions);
+  void TidyUp(call_state& call, time_point now, action_list& actions);
+  void Settle(const call_state& call, time_point now);
+  void CloseClaim(call_state& call, time_point now, action_list& actions);
+  void CloseTrial(call_state& call, bool proven, time_point now);
+  void ForgetIfDone(const call_state& call);
+  void ForgetDoneCalls();
+
+  void ApplyClaimStep(call_state& call,
+                      const claim_step& step,
+                      time_point now,
+                      action_list& actions);
+  void WakeCall(call_state& call, time_point now, action_list& actions);
+  void WakeEndedCall(call_state& call, time_point now, action_list& actions);
+  void Expire(call_state& call, time_point now, action_list& actions);
+  void Schedule(call_state& call);
+  void Unschedule(call_state& call);
+
+  // Handles what the aggregates have put out, until nothing is left.
+  void Drain(time_point now, action_list& actions);
+  void DrainEscrow(time_point now, action_list& actions);
+  void DrainQuarantine(time_point now, action_list& actions);
+  void ServeMarkedQueues(time_point now, action_list& actions);
+  void MarkService(const service_id& service);
+  void MarkAllQueues();
+  void CountRefusal(const team_id& team, refusal_code code);
+
+  instance_id self_;
+  Router& router_;
+  random_engine random_;
+  coordinator_limits limits_;
+  std::shared_ptr<const config::configuration> configuration_;
+  key_registry keys_;
+  token_escrow<EscrowPolicy> escrow_;
+  quarantine_list quarantine_;
+  retry_budget retries_;
+  std::vector<instance_id> peers_;
+  bool accepting_ = false;
+  refusal_code refusing_why_ = refusal_code::isolated;
+
+  std::unordered_map<request_id, call_state> calls_;
+  std::map<queue_id, service_queue> queues_;
+  std::set<std::pair<time_point, request_id>> wakes_;
+  std::map<team_id, team_counters> counters_;
+  int64_t open_calls_ = 0;
+  int64_t retry_count_ = 0;
+  time_point last_pick_;
+
+  // Work of the current event that Drain() does.
+  escrow_output escrow_output_;
+  quarantine_output quarantine_output_;
+  std::set<queue_id> queues_to_serve_;
+  std::vector<request_id> done_calls_;
+};
+
+}  // namespace jasminepath::decision
+
+#include "jasminepath/decision/admission/call_coordinator_impl.h"  // IWYU pragma: export
+
+#endif  // JASMINEPATH_DECISION_ADMISSION_CALL_COORDINATOR_H_
--- /dev/null
+++ b/packages/decision/src/admission/call_resolution.cc
@@ -0,0 +1,171 @@
+#include "jasminepath/decision/admission/call_resolution.h"
+
+#include <algorithm>
+#include <boost/outcome/try.hpp>
+#include <string>
+#include <utility>
+#include <variant>
+
+#include "jasminepath/base/digest.h"
+#include "jasminepath/config/configuration_index.h"
+
+namespace jasminepath::decision {
+namespace {
+
+// Hexadecimal characters of a fingerprint: 128 bits.
+constexpr std::size_t kFingerprintLength = 32;
+
+refusal NotRun(refusal_code code, std::string message) {
+  return {code, run_state::not_run, std::move(message), std::nullopt};
+}
+
+result<authenticated_caller, refusal> Authenticate(const call_arrival& arrival,
+                                                   const key_registry& keys) {
+  if (!arrival.presented_key)
+    return NotRun(refusal_code::unauthenticated, "a team key is required");
+  const auto caller = keys.Check(*arrival.presented_key);
+  if (caller)
+    return caller.value();
+  if (caller.error() == key_error::key_withdrawn)
+    return NotRun(refusal_code::unauthenticated,
+                  "the team key has been withdrawn");
+  return NotRun(refusal_code::unauthenticated, "the team key is not valid");
+}
+
+// Checks that the caller's team may use the service and notes its weight.
+result<void, refusal> Authorise(const config::configuration& configuration,
+                                const config::service& service,
+                                resolved_call& call) {
+  const config::team* team = config::FindTeam(configuration, call.caller.team);
+  const bool listed = service.teams.empty() ||
+                      std::find(service.teams.begin(), service.teams.end(),
+                                call.caller.team) != service.teams.end();
+  if (team == nullptr || !listed) {
+    return NotRun(refusal_code::forbidden,
+                  "the team may not use service " + service.id.value());
+  }
+  call.weight = std::max<int64_t>(team->weight, 1);
+  return success();
+}
+
+request_fingerprint Fingerprint(const resolved_call& call,
+                                const std::string& what,
+                                const std::string& body_digest) {
+  const std::string digest =
+      Sha256Hex(call.caller.team.value() + "\n" + what + "\n" + body_digest);
+  return request_fingerprint(digest.substr(0, kFingerprintLength));
+}
+
+void TakeServiceFields(const config::service& service, resolved_call& call) {
+  call.queue.service = service.id;
+  call.priority = service.priority;
+  call.queue_limit = service.queue_limit;
+}
+
+duration TimeAllowed(const call_arrival& arrival,
+                     duration offered,
+                     const coordinator_limits& limits) {
+  const duration bound = std::min(offered, limits.longest_deadline);
+  return arrival.deadline ? std::min(*arrival.deadline, bound) : bound;
+}
+
+result<tokens, refusal> GenerationLimit(const model_target& target,
+                                        const coordinator_limits& limits) {
+  if (!target.max_tokens)
+    return limits.default_max_tokens;
+  if (*target.max_tokens <= tokens(0))
+    return NotRun(refusal_code::bad_request, "max_tokens must be at least 1");
+  if (*target.max_tokens > limits.max_generated_tokens) {
+    return NotRun(refusal_code::bad_request,
+                  "max_tokens must be at most " +
+                      std::to_string(limits.max_generated_tokens.count()));
+  }
+  return *target.max_tokens;
+}
+
+bool HasAdapter(const config::model& model, const adapter_id& adapter) {
+  return adapter.empty() ||
+         std::any_of(
+             model.adapters.begin(), model.adapters.end(),
+             [&](const config::adapter& entry) { return entry.id == adapter; });
+}
+
+result<resolved_call, refusal> ResolveModelCall(
+    const call_arrival& arrival,
+    const model_target& target,
+    const key_registry& keys,
+    const config::configuration& configuration,
+    const coordinator_limits& limits) {
+  resolved_call call;
+  BOOST_OUTCOME_TRY(caller, Authenticate(arrival, keys));
+  call.caller = caller;
+  const config::service* service =
+      config::FindModelService(configuration, target.model);
+  const config::model* model =
+      service == nullptr ? nullptr : config::FindModel(*service, target.model);
+  if (model == nullptr || !HasAdapter(*model, target.adapter)) {
+    return NotRun(refusal_code::not_found, "no model named " +
+                                               target.model.value() + " " +
+                                               target.adapter.value());
+  }
+  BOOST_OUTCOME_TRYV(Authorise(configuration, *service, call));
+  if (target.prompt_tokens > limits.max_prompt_tokens)
+    return NotRun(refusal_code::too_large, "the prompt is too long");
+  BOOST_OUTCOME_TRY(max_tokens, GenerationLimit(target, limits));
+  call.max_tokens = max_tokens;
+  TakeServiceFields(*service, call);
+  call.queue.model = target.model;
+  call.size = target.prompt_tokens + call.max_tokens;
+  call.time_allowed = TimeAllowed(arrival, service->deadline, limits);
+  call.fingerprint = Fingerprint(
+      call, "model " + target.model.value() + " " + target.adapter.value(),
+      arrival.body_digest);
+  return call;
+}
+
+result<resolved_call, refusal> ResolveRouteCall(
+    const call_arrival& arrival,
+    const route_target& target,
+    const key_registry& keys,
+    const config::configuration& configuration,
+    const coordinator_limits& limits) {
+  resolved_call call;
+  const config::route_match match =
+      config::FindRoute(configuration, target.method, target.path);
+  if (match.matched == nullptr) {
+    return NotRun(refusal_code::not_found,
+                  "no route for " + target.method + " " + target.path);
+  }
+  if (!match.matched->open) {
+    BOOST_OUTCOME_TRY(caller, Authenticate(arrival, keys));
+    call.caller = caller;
+    BOOST_OUTCOME_TRYV(Authorise(configuration, *match.owner, call));
+    call.size = match.matched->cost;
+  }
+  const bool keyed = arrival.idempotency_key && !match.matched->idempotent;
+  if (keyed && call.caller.team.empty()) {
+    return NotRun(refusal_code::bad_request,
+                  "an Idempotency-Key needs a route that asks for a team key");
+  }
+  TakeServiceFields(*match.owner, call);
+  call.idempotent = match.matched->idempotent;
+  call.time_allowed = TimeAllowed(arrival, match.matched->deadline, limits);
+  call.fingerprint = Fingerprint(
+      call, "route " + target.method + " " + target.path, arrival.body_digest);
+  return call;
+}
+
+}  // namespace
+
+result<resolved_call, refusal> ResolveCall(
+    const call_arrival& arrival,
+    const key_registry& keys,
+    const config::configuration& configuration,
+    const coordinator_limits& limits) {
+  if (const auto* model = std::get_if<model_target>(&arrival.target))
+    return ResolveModelCall(arrival, *model, keys, configuration, limits);
+  return ResolveRouteCall(arrival, std::get<route_target>(arrival.target), keys,
+                          configuration, limits);
+}
+
+}  // namespace jasminepath::decision
