Add the fleet coordinator: membership, replicated facts, readiness and shares

Cause: nodes must agree on who runs, which facts are in force and how a team's rate is split, with no coordination service, through outages, restarts and pauses. Change: versioned stores repaired by digests in heartbeats and polled by two instances; ends of instances recorded in the table; parts of a rate changed by conditional writes that are reduced locally first; readiness from confirmations that count from the time at which the question was sent.

--- a/packages/decision/include/jasminepath/decision/fleet/fleet_coordinator.h
+++ b/packages/decision/include/jasminepath/decision/fleet/fleet_coordinator.h
@@ -15,6 +15,7 @@
 #include "jasminepath/decision/fleet/fleet_limits.h"
 #include "jasminepath/decision/fleet/fleet_vm.h"
 #include "jasminepath/decision/fleet/instance_record.h"
+#include "jasminepath/decision/fleet/membership.h"
 #include "jasminepath/decision/fleet/messages.h"
 #include "jasminepath/decision/fleet/share_record.h"
 #include "jasminepath/decision/fleet/versioned_row.h"
@@ -25,9 +26,6 @@
 // The polls of the platform: poll_facts, poll_instances and poll_vms.
 enum class poll_kind { facts, instances, vms };
 
-// What status pages show of one instance.
-enum class instance_state { alive, suspected, ended };
-
 // One line of the fleet view.
 struct instance_view {
   instance_record record;
@@ -70,8 +68,10 @@
   fleet_actions OnPushedFacts(const std::vector<fact>& rows, time_point now);
   // A poll got no answer.
   fleet_actions OnPollFailed(poll_kind kind, time_point now);
-  // Ends write_instance or remove_instance; `version` only when committed.
+  // Ends the write_instance or remove_instance that expected the version
+  // `expected`; `version` only when committed.
   fleet_actions OnInstanceWritten(const instance_id& instance,
+                                  revision expected,
                                   write_end end,
                                   revision version,
                                   time_point now);
@@ -81,8 +81,10 @@
                            revision version,
                            time_point now);
   fleet_actions OnShareReadFailed(const team_id& team, time_point now);
-  // Ends commit_share; `version` only when committed.
+  // Ends the commit_share that expected the version `expected`; `version` only
+  // when committed.
   fleet_actions OnShareCommitted(const team_id& team,
+                                 revision expected,
                                  write_end end,
                                  revision version,
                                  time_point now);
--- a/packages/decision/include/jasminepath/decision/fleet/messages.h
+++ b/packages/decision/include/jasminepath/decision/fleet/messages.h
@@ -28,12 +28,24 @@
   revision complete_through;
   // Highest version of any row held, deletions included.
   revision highest;
+  // The holder can list changes only after this version; asked for older ones
+  // it sends a whole snapshot.
+  revision changes_after;
   // Over keys and versions of the rows that are there.
   uint64_t hash = 0;
 
   friend bool operator==(const store_digest&, const store_digest&) = default;
 };
 
+// An instance that some node has not heard on its link. `hops` is 0 from that
+// node and rises by one with each node that passes it on.
+struct silent_report {
+  instance_id instance;
+  int64_t hops = 0;
+
+  friend bool operator==(const silent_report&, const silent_report&) = default;
+};
+
 // Sent on every link once per heartbeat period, and at once when the sender's
 // rows have changed.
 struct heartbeat_message {
@@ -46,8 +58,7 @@
   // Time since the sender's rows were last confirmed by the platform, itself or
   // through others; none if never.
   std::optional<duration> platform_age;
-  // Linked instances that the sender has not heard for the suspicion time.
-  std::vector<instance_id> silent;
+  std::vector<silent_report> silent;
 
   friend bool operator==(const heartbeat_message&,
                          const heartbeat_message&) = default;
--- /dev/null
+++ b/packages/decision/include/jasminepath/decision/fleet/silence_reports.h
@@ -0,0 +1,47 @@
+#ifndef JASMINEPATH_DECISION_FLEET_SILENCE_REPORTS_H_
+#define JASMINEPATH_DECISION_FLEET_SILENCE_REPORTS_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include "jasminepath/base/boot_time.h"
+#include "jasminepath/base/ids.h"
+#include "jasminepath/decision/fleet/messages.h"
+
+namespace jasminepath::decision {
+
+// What others say about instances that this node has no link to. Reports lapse
+// unless repeated, and travel a bounded number of hops, so that a report dies
+// out once no node makes it any more.
+class silence_reports {
+ public:
+  static constexpr int64_t kMaxHops = 4;
+  static constexpr std::size_t kMaxReports = 16;
+
+  explicit silence_reports(duration lifetime);
+
+  void OnReports(const std::vector<silent_report>& reports, time_point now);
+  void DropLapsed(time_point now);
+
+  bool Contains(const instance_id& instance) const;
+  // What to pass on in this node's own heartbeats.
+  std::vector<silent_report> ToPassOn() const;
+
+ private:
+  // The report that came over the fewest hops.
+  struct heard_report {
+    int64_t hops = 0;
+    time_point at{};
+
+    friend bool operator==(const heard_report&, const heard_report&) = default;
+  };
+
+  duration lifetime_;
+  std::map<instance_id, heard_report> reports_;
+};
+
+}  // namespace jasminepath::decision
+
+#endif  // JASMINEPATH_DECISION_FLEET_SILENCE_REPORTS_H_
--- /dev/null
+++ b/packages/decision/include/jasminepath/decision/fleet/versioned_store.h
@@ -0,0 +1,245 @@
+#ifndef JASMINEPATH_DECISION_FLEET_VERSIONED_STORE_H_
+#define JASMINEPATH_DECISION_FLEET_VERSIONED_STORE_H_
+
+#include <algorithm>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jasminepath/base/digest.h"
+#include "jasminepath/base/units.h"
+#include "jasminepath/decision/fleet/instance_record.h"
+#include "jasminepath/decision/fleet/messages.h"
+#include "jasminepath/decision/fleet/versioned_row.h"
+
+namespace jasminepath::decision {
+
+// Approximate size of a row's value in a message.
+inline int64_t ValueBytes(const std::string& value) {
+  return static_cast<int64_t>(value.size());
+}
+int64_t ValueBytes(const instance_record& value);
+
+// Names one version of one row.
+struct row_version {
+  revision version;
+  std::string key;
+
+  friend auto operator<=>(const row_version&, const row_version&) = default;
+};
+
+// A node's copy of a replicated set of rows. The version held for a key only
+// rises. `complete_through` is a commit up to which every change is reflected:
+// a row at or below it that is not held has been superseded or deleted.
+// Deleted rows are remembered until `kMaxTombstones` newer deletions are known.
+template <typename Value>
+class versioned_store {
+ public:
+  using row = versioned_row<Value>;
+
+  static constexpr std::size_t kMaxTombstones = 1024;
+
+  // Takes over the rows that are newer than those held; returns those.
+  std::vector<row> ApplyRows(const std::vector<row>& rows) {
+    std::vector<row> changed;
+    for (const row& candidate : rows) {
+      if (ApplyRow(candidate))
+        changed.push_back(candidate);
+    }
+    TrimTombstones();
+    return changed;
+  }
+
+  // `rows` are all changes after `since` up to `through`, and maybe later ones.
+  std::vector<row> ApplyChanges(const std::vector<row>& rows,
+                                revision since,
+                                revision through) {
+    std::vector<row> changed = ApplyRows(rows);
+    if (since <= complete_through_)
+      complete_through_ = std::max(complete_through_, through);
+    return changed;
+  }
+
+  // `present` names all rows that were there at `through`; they were applied
+  // before. Removes what is held besides and returns it as deleted.
+  std::vector<row> FinishSnapshot(const std::set<row_version>& present,
+                                  revision through) {
+    if (through <= complete_through_)
+      return {};
+    std::vector<row> removed = RemoveMissing(present, through);
+    complete_through_ = through;
+    changes_after_ = through;
+    return removed;
+  }
+
+  // `rows` are all rows that were there at `through`.
+  std::vector<row> ApplySnapshot(const std::vector<row>& rows,
+                                 revision through) {
+    std::vector<row> changed = ApplyRows(rows);
+    std::set<row_version> present;
+    for (const row& applied : rows)
+      present.insert({.version = applied.version, .key = applied.key});
+    std::vector<row> removed = FinishSnapshot(present, through);
+    changed.insert(changed.end(), removed.begin(), removed.end());
+    return changed;
+  }
+
+  // The next page of an answer to `request`.
+  row_page<Value> MakePage(const row_request& request,
+                           int64_t page_bytes) const {
+    const bool snapshot = request.snapshot_cursor.has_value() ||
+                          request.since < changes_after_ ||
+                          request.since == revision();
+    row_page<Value> page;
+    page.snapshot = snapshot;
+    page.since =
+        snapshot ? request.snapshot_cursor.value_or(revision()) : request.since;
+    page.through = complete_through_;
+    FillPage(page, page_bytes);
+    return page;
+  }
+
+  // The row under `key` if it is there, or null.
+  const row* Find(const std::string& key) const {
+    const auto found = rows_.find(key);
+    return found == rows_.end() || found->second.deleted ? nullptr
+                                                         : &found->second;
+  }
+
+  // Calls `visit` for every row that is there, in the order of keys.
+  template <typename Visit>
+  void ForEach(Visit visit) const {
+    for (const auto& [key, held] : rows_) {
+      if (!held.deleted)
+        visit(held);
+    }
+  }
+
+  store_digest digest() const {
+    return {.complete_through = complete_through_,
+            .highest = by_version_.empty() ? complete_through_
+                                           : by_version_.rbegin()->version,
+            .changes_after = changes_after_,
+            .hash = hash_};
+  }
+
+  revision complete_through() const { return complete_through_; }
+
+ private:
+  static uint64_t HashOf(const row& value) {
+    return StableHash(value.key + '@' + std::to_string(value.version.count()));
+  }
+
+  bool ApplyRow(const row& candidate) {
+    const auto held = rows_.find(candidate.key);
+    if (held == rows_.end()) {
+      if (candidate.version <= complete_through_)
+        return false;
+      Insert(candidate);
+      return true;
+    }
+    if (candidate.version <= held->second.version)
+      return false;
+    Erase(held);
+    Insert(candidate);
+    return true;
+  }
+
+  void Insert(const row& added) {
+    if (!added.deleted)
+      hash_ ^= HashOf(added);
+    else
+      tombstones_.insert({.version = added.version, .key = added.key});
+    by_version_.insert({.version = added.version, .key = added.key});
+    rows_.emplace(added.key, added);
+  }
+
+  void Erase(typename std::map<std::string, row>::iterator place) {
+    const row& held = place->second;
+    if (!held.deleted)
+      hash_ ^= HashOf(held);
+    const row_version name{.version = held.version, .key = held.key};
+    tombstones_.erase(name);
+    by_version_.erase(name);
+    rows_.erase(place);
+  }
+
+  std::vector<row> RemoveMissing(const std::set<row_version>& present,
+                                 revision through) {
+    std::vector<row> removed;
+    for (auto place = rows_.begin(); place != rows_.end();) {
+      const auto next = std::next(place);
+      const row& held = place->second;
+      const bool covered = held.version <= through;
+      if (covered &&
+          !present.contains({.version = held.version, .key = held.key})) {
+        if (!held.deleted)
+          removed.push_back({.key = held.key,
+                             .value = Value(),
+                             .version = through,
+                             .deleted = true});
+        Erase(place);
+      }
+      place = next;
+    }
+    return removed;
+  }
+
+  // Forgets the oldest deletions that every complete copy reflects.
+  void TrimTombstones() {
+    while (tombstones_.size() > kMaxTombstones &&
+           tombstones_.begin()->version <= complete_through_) {
+      const row_version oldest = *tombstones_.begin();
+      changes_after_ = std::max(changes_after_, oldest.version);
+      Erase(rows_.find(oldest.key));
+    }
+  }
+
+  // Adds rows after `page.since` in the order of versions. Rows of one commit
+  // are never split over pages.
+  void FillPage(row_page<Value>& page, int64_t page_bytes) const {
+    int64_t size = 0;
+    revision last_version = page.since;
+    const row_version first{.version = page.since + revision(1), .key = {}};
+    for (auto place = by_version_.lower_bound(first);
+         place != by_version_.end(); ++place) {
+      const row& held = rows_.find(place->key)->second;
+      if (page.snapshot && held.deleted)
+        continue;
+      const auto added =
+          static_cast<int64_t>(held.key.size()) + ValueBytes(held.value);
+      const bool full = size > 0 && size + added > page_bytes;
+      if (full && held.version != last_version) {
+        EndPageEarly(page, last_version);
+        return;
+      }
+      page.rows.push_back(held);
+      size += added;
+      last_version = held.version;
+    }
+  }
+
+  void EndPageEarly(row_page<Value>& page, revision last_version) const {
+    page.last = false;
+    if (!page.snapshot)
+      page.through = std::min(page.through, last_version);
+  }
+
+  std::map<std::string, row> rows_;
+  std::set<row_version> by_version_;
+  std::set<row_version> tombstones_;
+  revision complete_through_;
+  revision changes_after_;
+  uint64_t hash_ = 0;
+};
+
+using fact_store = versioned_store<std::string>;
+using instance_store = versioned_store<instance_record>;
+
+}  // namespace jasminepath::decision
+
+#endif  // JASMINEPATH_DECISION_FLEET_VERSIONED_STORE_H_
--- /dev/null
+++ b/packages/decision/include/jasminepath/decision/fleet/vm_presence.h
@@ -0,0 +1,47 @@
+#ifndef JASMINEPATH_DECISION_FLEET_VM_PRESENCE_H_
+#define JASMINEPATH_DECISION_FLEET_VM_PRESENCE_H_
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <vector>
+
+#include "jasminepath/base/boot_time.h"
+#include "jasminepath/base/ids.h"
+#include "jasminepath/decision/fleet/fleet_vm.h"
+
+namespace jasminepath::decision {
+
+// Judges from successive VM lists whether a VM has gone. Since the list lags
+// and may step back, a VM counts as gone only when it is missing from several
+// lists in a row over the confirmation time.
+class vm_presence {
+ public:
+  explicit vm_presence(duration absence_confirmation);
+
+  // `watched` are the VMs whose absence matters.
+  void OnList(const std::vector<fleet_vm>& vms,
+              const std::vector<vm_id>& watched,
+              time_point now);
+
+  // Whether the latest list has the VM.
+  bool IsListed(const vm_id& vm) const;
+  bool HasGone(const vm_id& vm, time_point now) const;
+
+ private:
+  // Lists in a row without the VM.
+  struct absence {
+    time_point since;
+    int64_t lists = 0;
+
+    friend bool operator==(const absence&, const absence&) = default;
+  };
+
+  duration absence_confirmation_;
+  std::set<vm_id> listed_;
+  std::map<vm_id, absence> absences_;
+};
+
+}  // namespace jasminepath::decision
+
+#endif  // JASMINEPATH_DECISION_FLEET_VM_PRESENCE_H_
--- /dev/null
+++ b/packages/decision/src/fleet/registration.cc
@@ -0,0 +1,71 @@
+#include "jasminepath/decision/fleet/registration.h"
+
+#include <algorithm>
+#include <random>
+#include <utility>
+
+namespace jasminepath::decision {
+namespace {
+
+constexpr duration kFirstBackoff = Milliseconds(500);
+
+}  // namespace
+
+registration::registration(instance_record self,
+                           fleet_limits limits,
+                           random_engine random)
+    : self_(std::move(self)), limits_(limits), random_(random) {}
+
+void registration::OnInstancesRead(revision version) {
+  if (!read_at_)
+    read_at_ = version;
+}
+
+void registration::OnOwnRow(const instance_row* row) {
+  if (row) {
+    self_ = row->value;
+    row_version_ = std::max(row_version_, row->version);
+    return;
+  }
+  if (registered())
+    removed_ = true;
+}
+
+bool registration::OnWritten(write_end end, time_point now) {
+  sent_at_.reset();
+  if (end == write_end::committed) {
+    backoff_ = duration::zero();
+    return false;
+  }
+  backoff_ =
+      std::clamp(backoff_ * 2, kFirstBackoff, limits_.longest_poll_backoff);
+  std::uniform_int_distribution<duration::rep> jitter(backoff_.count() / 2,
+                                                      backoff_.count());
+  not_before_ = now + duration(jitter(random_));
+  return end != write_end::unreachable;
+}
+
+void registration::OnDrain() {
+  draining_ = true;
+  not_before_ = time_point();
+}
+
+void registration::Act(time_point now, fleet_actions& actions) {
+  if (sent_at_ && now - *sent_at_ >= limits_.platform_call_expiry)
+    OnWritten(write_end::lost, now);
+  if (sent_at_ || removed_ || now < not_before_)
+    return;
+  if (draining_ && registered()) {
+    sent_at_ = now;
+    actions.push_back(
+        remove_instance{.instance = self_.id, .expected = row_version_});
+    return;
+  }
+  if (draining_ || registered() || !read_at_)
+    return;
+  self_.started = read_at_->count();
+  sent_at_ = now;
+  actions.push_back(write_instance{.record = self_, .expected = revision()});
+}
+
+}  // namespace jasminepath::decision
--- /dev/null
+++ b/packages/decision/src/fleet/silence_reports.cc
@@ -0,0 +1,39 @@
+#include "jasminepath/decision/fleet/silence_reports.h"
+
+namespace jasminepath::decision {
+
+silence_reports::silence_reports(duration lifetime) : lifetime_(lifetime) {}
+
+void silence_reports::OnReports(const std::vector<silent_report>& reports,
+                                time_point now) {
+  for (const silent_report& report : reports) {
+    if (report.hops >= kMaxHops)
+      continue;
+    const auto [place, added] = reports_.emplace(
+        report.instance, heard_report{.hops = report.hops, .at = now});
+    if (!added && report.hops <= place->second.hops)
+      place->second = {.hops = report.hops, .at = now};
+  }
+}
+
+void silence_reports::DropLapsed(time_point now) {
+  std::erase_if(reports_, [&](const auto& entry) {
+    return now - entry.second.at > lifetime_;
+  });
+}
+
+bool silence_reports::Contains(const instance_id& instance) const {
+  return reports_.contains(instance);
+}
+
+std::vector<silent_report> silence_reports::ToPassOn() const {
+  std::vector<silent_report> passed;
+  for (const auto& [instance, heard] : reports_) {
+    if (passed.size() == kMaxReports)
+      break;
+    passed.push_back({.instance = instance, .hops = heard.hops + 1});
+  }
+  return passed;
+}
+
+}  // namespace jasminepath::decision
--- /dev/null
+++ b/packages/decision/tests/fleet/fleet_world.h
@@ -0,0 +1,164 @@
+#ifndef JASMINEPATH_DECISION_TESTS_FLEET_FLEET_WORLD_H_
+#define JASMINEPATH_DECISION_TESTS_FLEET_FLEET_WORLD_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jasminepath/base/boot_time.h"
+#include "jasminepath/base/random.h"
+#include "jasminepath/config/configuration.h"
+#include "jasminepath/decision/fleet/fleet_coordinator.h"
+
+namespace jasminepath::decision {
+
+// Faults of the network and the platform; probabilities from 0 to 1.
+struct world_faults {
+  double message_loss = 0;
+  double message_repeat = 0;
+  double message_delay = 0;
+  double answer_loss = 0;
+  bool platform_down = false;
+};
+
+// A fleet of coordinators in virtual time with a platform and a network that
+// fail on demand, and the oracle that checks the promises after every event.
+// Violations are collected as text.
+class fleet_world {
+ public:
+  fleet_world(uint64_t seed, int vm_count, int team_count);
+  fleet_world(const fleet_world&) = delete;
+  fleet_world& operator=(const fleet_world&) = delete;
+
+  // Operations of a history. Out-of-range VM numbers wrap around.
+  void Start(int vm);
+  void Kill(int vm);
+  void Pause(int vm);
+  void Continue(int vm);
+  void Drain(int vm);
+  // The VM ends with its process and leaves the list, which shows it later.
+  void RemoveVm(int vm);
+  void Isolate(int vm, bool from_peers, bool from_platform);
+  void Reconnect(int vm);
+  // Commits a fact; deletes it on `deleted`. `push` hands it to one node.
+  void CommitFact(int key, bool deleted, bool push);
+  void Run(duration span);
+
+  world_faults& faults() { return faults_; }
+  // Ends all faults and continues paused processes.
+  void Heal();
+
+  // Every running instance holds exactly the facts of the table.
+  bool AllFactsInForce() const;
+  // Every running instance may take calls.
+  bool AllReady() const;
+  // Every running instance of `team` has at least this part of the equal one.
+  bool SharesAreEven(double least) const;
+  // Table calls made since the start.
+  int64_t reads() const { return reads_; }
+  int64_t writes() const { return writes_; }
+  int64_t messages() const { return messages_; }
+  int running() const;
+  const std::vector<std::string>& violations() const { return violations_; }
+  fleet_coordinator* Coordinator(int vm);
+
+ private:
+  // A process on a VM, or the place for one.
+  struct machine {
+    int number = 0;
+    bool exists = true;
+    bool listed = false;
+    int incarnation = 0;
+    bool running = false;
+    bool paused = false;
+    bool drained = false;
+    bool cut_from_peers = false;
+    bool cut_from_platform = false;
+    instance_record record;
+    std::unique_ptr<fleet_coordinator> coordinator;
+    std::vector<std::function<void()>> held_events;
+    std::map<std::string, revision> applied;
+  };
+
+  // A row of the fake table.
+  template <typename Value>
+  struct stored_row {
+    Value value;
+    revision version;
+    bool deleted = false;
+  };
+  template <typename Value>
+  using table = std::map<std::string, stored_row<Value>>;
+
+  struct event {
+    time_point at;
+    int64_t order = 0;
+    std::function<void()> run;
+    bool operator<(const event& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+
+  machine& At(int vm);
+  bool Chance(double probability);
+  duration Delay(int64_t least_ms, int64_t most_ms);
+  void After(duration delay, std::function<void()> run);
+  // Runs `act` on the process if it is still that incarnation; keeps it while
+  // the process is paused.
+  void Deliver(int vm, int incarnation, std::function<fleet_actions()> act);
+  void Do(int vm, const fleet_actions& actions);
+  void ScheduleTick(int vm, int incarnation);
+  void CheckShares();
+  void Violate(const std::string& text);
+
+  void Perform(int vm, const send_fleet_message& action);
+  void Perform(int vm, const poll_facts& action);
+  void Perform(int vm, const poll_instances& action);
+  void Perform(int vm, const poll_vms& action);
+  void Perform(int vm, const write_instance& action);
+  void Perform(int vm, const remove_instance& action);
+  void Perform(int vm, const commit_share& action);
+  void Perform(int vm, const read_share& action);
+  void Perform(int vm, const apply_fact& action);
+  void Perform(int vm, const instance_ended& action);
+  void Perform(int vm, const instance_fenced& action);
+  void Perform(int vm, const drain_finished& action);
+  template <typename Other>
+  void Perform(int, const Other&) {}
+
+  void WriteRow(int vm,
+                const instance_id& instance,
+                revision expected,
+                std::optional<instance_record> record);
+  // Runs `effect` at the platform and `answer(reached, lost)` at the caller.
+  void CallPlatform(int vm,
+                    std::function<void()> effect,
+                    std::function<fleet_actions(write_end)> answer);
+
+  random_engine random_;
+  world_faults faults_;
+  time_point now_ = time_point() + Seconds(1000);
+  int64_t order_ = 0;
+  std::priority_queue<event> events_;
+  std::vector<machine> machines_;
+  std::shared_ptr<const config::configuration> configuration_;
+  revision version_ = revision(10);
+  table<std::string> facts_;
+  table<instance_record> instances_;
+  table<share_record> shares_;
+  std::set<std::string> alive_processes_;
+  std::vector<std::string> violations_;
+  int64_t reads_ = 0;
+  int64_t writes_ = 0;
+  int64_t messages_ = 0;
+};
+
+}  // namespace jasminepath::decision
+
+#endif  // JASMINEPATH_DECISION_TESTS_FLEET_FLEET_WORLD_H_
