--- a/packages/decision/include/jasminepath/decision/placement/authority.h
+++ b/packages/decision/include/jasminepath/decision/placement/authority.h
@@ -91,12 +91,13 @@
 
   // The node wants the authority, whoever holds it now; the caller has checked
   // that the present holder has given it back, has ended or may be superseded.
-  void Take() { wish_ = wish::take; }
-  // The node wants to know the holder.
-  void Look() {
-    if (wish_ == wish::none)
-      wish_ = wish::look;
-  }
+  // No effect while held.
+  void Take();
+  // The node gives its hold up for one of its own with an epoch above `floor`,
+  // since the receiving side knows a higher one than the table.
+  void Renew(epoch floor);
+  // The node wants the row read again.
+  void Look();
   // The node stops using the authority at once and writes an empty holder.
   void GiveBack();
   // Gives up an attempt to take the authority.
@@ -106,19 +107,26 @@
   // holds what to commit.
   step NextStep(time_point now);
   const authority_write& write() const { return write_; }
+  // Whether a call is to be made now or later, or is under way.
+  bool idle() const { return wish_ == wish::none && !busy_; }
+  bool giving_back() const { return wish_ == wish::give_back; }
+  // When the row was last read or written; the epoch of the distant past if it
+  // was only heard of.
+  time_point confirmed_at() const { return confirmed_at_; }
 
   // Answers of the table. Return true if the hold or the holder changed.
   bool OnRow(const authority_row& row, time_point now);
   bool OnReadFailed(time_point now);
   bool OnOutcome(const authority_outcome& outcome, time_point now);
-  // What a peer says of the row; ignored unless its epoch is at least the
-  // known one.
+  // What a peer says of the row; ignored unless it is newer than what is known.
   bool OnNotice(const holder_notice& notice);
 
  private:
   enum class wish { none, look, take, give_back };
 
   bool Learn(const authority_record& record, revision version);
+  authority_write NextWrite() const;
+  void Finish(time_point now);
   void Retry(time_point now);
 
   authority_key key_;
@@ -127,13 +135,14 @@
   authority_record known_;
   revision version_;
   bool seen_ = false;
-  // The version is the row's, not only its holder's.
-  bool version_known_ = false;
   bool held_ = false;
   bool busy_ = false;
   wish wish_ = wish::none;
   authority_write write_;
+  epoch floor_;
   time_point not_before_;
+  time_point asked_at_;
+  time_point confirmed_at_ = time_point::min();
 };
 
 }  // namespace jasminepath::decision
--- a/packages/decision/include/jasminepath/decision/placement/placement_coordinator.h
+++ b/packages/decision/include/jasminepath/decision/placement/placement_coordinator.h
@@ -22,10 +22,7 @@
                         random_engine random,
                         placement_limits limits,
                         Policy policy)
-      : core_(std::move(self),
-              std::move(zone),
-              std::move(random),
-              std::move(limits)),
+      : core_(std::move(self), std::move(zone), random, limits),
         policy_(std::move(policy)) {}
 
   void OnConfiguration(std::shared_ptr<const config::configuration> source,
--- /dev/null
+++ b/packages/decision/src/placement/model_decider.h
@@ -0,0 +1,170 @@
+#ifndef JASMINEPATH_DECISION_SRC_PLACEMENT_MODEL_DECIDER_H_
+#define JASMINEPATH_DECISION_SRC_PLACEMENT_MODEL_DECIDER_H_
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "jasminepath/base/boot_time.h"
+#include "jasminepath/base/ids.h"
+#include "jasminepath/base/units.h"
+#include "jasminepath/decision/placement/keep_warm.h"
+#include "jasminepath/decision/placement/messages.h"
+#include "jasminepath/decision/placement/placement_action.h"
+#include "jasminepath/decision/placement/placement_core.h"
+#include "placement/site_view.h"
+
+namespace jasminepath::decision {
+
+// What a decider sees and does during one event.
+struct decider_context {
+  const site_view& site;
+  // The node to ask about a VM: its owner, or who would become it; empty if
+  // there is none.
+  const std::function<instance_id(const vm_id&)>& owner_of;
+  // The node to ask about another model.
+  const std::function<instance_id(const model_id&)>& decider_of;
+  time_point now;
+  std::vector<placement_action>& actions;
+};
+
+// Holds the authority over one model: decides how many replicas there are and
+// on which VMs. A VM whose owner has not promised this decider's epoch counts
+// as holding one, and so does every request without an answer; a load is
+// requested only while the count stays within the decision.
+class model_decider {
+ public:
+  model_decider(model_id model, epoch number, const placement_limits& limits);
+
+  epoch number() const { return number_; }
+  int64_t decided() const { return decided_; }
+  int64_t waiting() const;
+  int64_t running() const;
+  // Replicas that are, or may be, loaded or loading.
+  int64_t Count() const;
+  std::vector<replica_status> Replicas(const site_view& site) const;
+  keep_warm_price Price(const site_view& site) const;
+  void set_keep_warm(duration keep) { keep_ = keep; }
+  // Arrivals since the last call.
+  int64_t TakeArrivals();
+  // Whether a request is open or callers wait, so that Step is due soon.
+  bool Busy() const;
+
+  void OnDemand(const instance_id& from,
+                const model_demand& demand,
+                time_point now);
+  void OnInstanceEnded(const instance_id& instance);
+  void OnReport(const instance_id& from,
+                const replica_report& report,
+                time_point now);
+  // Another model wants the VM's room.
+  void OnEviction(const eviction_request& request,
+                  const decider_context& context);
+  // Carries the decision on; due after each event and on ticks.
+  void Step(const decider_context& context);
+
+ private:
+  enum class request_kind { none, promise, load, unload };
+
+  // What this decider knows of the model on one VM.
+  struct slot {
+    bool promised = false;
+    replica_state state = replica_state::absent;
+    std::string version;
+    // The request without an answer, to whom it went last, and its number.
+    request_kind request = request_kind::none;
+    instance_id asked;
+    int64_t sequence = 0;
+    time_point asked_at;
+    time_point first_asked_at;
+    weight_source source = weight_source::remote;
+    // The last report taken in.
+    instance_id reporter;
+    epoch vm_epoch;
+    int64_t report_number = 0;
+    time_point reported_at;
+    // When an engine status first showed the load.
+    std::optional<time_point> loading_since;
+    // Tried last until then.
+    time_point avoid_until;
+    // No further eviction is asked for before.
+    time_point eviction_retry_at;
+  };
+
+  struct sender_demand {
+    model_demand demand;
+    time_point received_at;
+  };
+
+  // What is wanted now.
+  struct target {
+    int64_t replicas = 0;
+    bool idle = false;
+  };
+
+  // A VM to load on, and whom to evict first.
+  struct placement_choice {
+    vm_id vm;
+    weight_source source = weight_source::remote;
+    double cost = 0;
+    std::vector<model_id> victims;
+  };
+
+  bool Counts(const slot& entry) const;
+  bool Usable(const vm_id& vm,
+              const slot& entry,
+              const decider_context& context) const;
+  bool Ready(const vm_id& vm,
+             const slot& entry,
+             const decider_context& context) const;
+  bool Slow(const vm_id& vm,
+            const slot& entry,
+            const decider_context& context) const;
+  bool OldVersion(const slot& entry, const decider_context& context) const;
+  void ExpireDemand(time_point now);
+  void SyncSlots(const decider_context& context);
+  void WatchLoads(const decider_context& context);
+  void Contact(const decider_context& context);
+  target Target(const decider_context& context) const;
+  void Decide(const target& wanted, const decider_context& context);
+  void StartLoads(const target& wanted, const decider_context& context);
+  void StopReplicas(const target& wanted, const decider_context& context);
+  void StopHopeless(const decider_context& context);
+  std::optional<placement_choice> Choose(const decider_context& context) const;
+  std::optional<placement_choice> Weigh(const vm_id& vm,
+                                        const slot& entry,
+                                        const decider_context& context) const;
+  void AskEvictions(const placement_choice& choice,
+                    const decider_context& context);
+  void Request(const vm_id& vm,
+               slot& entry,
+               request_kind kind,
+               const decider_context& context);
+  void SendRequest(const vm_id& vm,
+                   slot& entry,
+                   const decider_context& context);
+  duration Estimate(const decider_context& context) const;
+  void Notify(const decider_context& context);
+  double Urgency(const decider_context& context) const;
+
+  model_id model_;
+  epoch number_;
+  placement_limits limits_;
+  duration keep_;
+  int64_t decided_ = 0;
+  int64_t last_sequence_ = 0;
+  std::map<vm_id, slot> slots_;
+  std::map<instance_id, sender_demand> demands_;
+  int64_t arrivals_ = 0;
+  std::optional<time_point> last_use_;
+  std::optional<time_point> surplus_since_;
+  // The last notice, and who has had it.
+  std::optional<model_notice> notice_;
+  std::map<instance_id, time_point> notified_;
+};
+
+}  // namespace jasminepath::decision
+
+#endif  // JASMINEPATH_DECISION_SRC_PLACEMENT_MODEL_DECIDER_H_
--- /dev/null
+++ b/packages/decision/src/placement/placement_state.cc
@@ -0,0 +1,880 @@
+#include "placement/placement_state.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "placement/rendezvous.h"
+
+namespace jasminepath::decision {
+
+namespace {
+
+// Rounds of consequences within one event; what is left waits for the next.
+constexpr int kSettleRounds = 32;
+constexpr duration kBusyTick = Milliseconds(100);
+constexpr duration kIdleTick = Seconds(1);
+constexpr char kStoreKey[] = "weight-store";
+
+authority_key VmKey(const vm_id& vm) {
+  return {authority_kind::vm, vm.value()};
+}
+
+authority_key ModelKey(const model_id& model) {
+  return {authority_kind::model, model.value()};
+}
+
+}  // namespace
+
+placement_core::state::state(instance_id self,
+                             zone_id zone,
+                             random_engine random,
+                             placement_limits limits)
+    : self_(std::move(self)),
+      zone_(std::move(zone)),
+      random_(random),
+      limits_(limits),
+      gate_(limits.store_lease),
+      owner_of_([this](const vm_id& vm) { return OwnerOf(vm); }),
+      decider_of_([this](const model_id& model) { return DeciderOf(model); }) {
+  peers_.insert(self_);
+}
+
+void placement_core::state::Begin(time_point now, action_list& actions) {
+  now_ = now;
+  actions_ = &actions;
+  first_action_ = actions.size();
+}
+
+// Events.
+
+void placement_core::state::OnConfiguration(
+    const config::configuration& source) {
+  site_.OnConfiguration(source);
+  gate_.SetLimits(source.store);
+  configured_ = true;
+  ConsiderVms();
+  MarkAll();
+}
+
+void placement_core::state::OnLocalDemand(
+    const std::vector<model_demand>& demands) {
+  std::set<model_id> present;
+  for (const model_demand& demand : demands) {
+    present.insert(demand.model);
+    local_demand& entry = local_[demand.model];
+    entry.dirty = entry.dirty || entry.demand.waiting != demand.waiting ||
+                  entry.demand.arrivals != demand.arrivals ||
+                  (entry.demand.running == 0) != (demand.running == 0);
+    entry.demand = demand;
+    entry.present = demand.waiting + demand.running > 0;
+  }
+  for (auto& [model, entry] : local_) {
+    if (present.contains(model) || !entry.present)
+      continue;
+    const int64_t arrivals = entry.demand.arrivals;
+    entry.demand = model_demand();
+    entry.demand.model = model;
+    entry.demand.arrivals = arrivals;
+    entry.present = false;
+    entry.dirty = true;
+  }
+  RefreshLocalDemand();
+}
+
+void placement_core::state::OnAdapterNeeds(
+    const std::vector<adapter_need>& needs) {
+  for (const adapter_need& need : needs) {
+    const vm_view* vm = site_.FindEndpoint(need.endpoint);
+    if (vm == nullptr)
+      continue;
+    const instance_id owner = OwnerOf(vm->vm);
+    if (!owner.empty())
+      Send(owner, adapter_request{need.model, need.adapter, vm->vm});
+  }
+}
+
+void placement_core::state::OnPeers(const std::vector<instance_id>& live) {
+  std::set<instance_id> peers(live.begin(), live.end());
+  peers.insert(self_);
+  for (const instance_id& peer : peers) {
+    suspected_.erase(peer);
+    absent_since_.erase(peer);
+  }
+  if (peers == peers_)
+    return;
+  peers_ = std::move(peers);
+  ConsiderVms();
+  MarkAll();
+}
+
+void placement_core::state::OnInstanceEnded(const instance_id& instance) {
+  ended_.insert(instance);
+  suspected_.erase(instance);
+  absent_since_.erase(instance);
+  gate_.OnInstanceEnded(instance);
+  for (auto& [model, entry] : models_) {
+    if (entry.decider)
+      entry.decider->OnInstanceEnded(instance);
+  }
+  ConsiderVms();
+  MarkAll();
+}
+
+void placement_core::state::OnInstanceSuspected(const instance_id& instance) {
+  if (Ended(instance) || instance == self_)
+    return;
+  suspected_.insert(instance);
+  ConsiderVms();
+  MarkAll();
+}
+
+void placement_core::state::OnVmList(const std::vector<vm_id>& live,
+                                     const std::vector<vm_id>& leaving) {
+  site_.OnVmList(live, leaving);
+  for (auto& [vm, entry] : vms_) {
+    if (site_.Gone(vm) && entry.owner)
+      DropOwner(entry);
+  }
+  ConsiderVms();
+  MarkAll();
+}
+
+void placement_core::state::OnEndpointStatus(const endpoint_status& status) {
+  const vm_view* vm = site_.OnStatus(status, now_);
+  if (vm == nullptr)
+    return;
+  const auto found = vms_.find(vm->vm);
+  if (found == vms_.end() || !found->second.owner)
+    return;
+  found->second.owner->OnStatus(OwnerContext(*vm));
+  CheckOwner(vm->vm);
+  AdoptUndecided(vm->vm);
+}
+
+void placement_core::state::OnEndpointUnreachable(const endpoint_id& endpoint) {
+  site_.OnUnreachable(endpoint);
+}
+
+void placement_core::state::OnOrderOutcome(const order_outcome& outcome) {
+  for (auto& [vm, entry] : vms_) {
+    const vm_view* view = site_.FindVm(vm);
+    if (!entry.owner || view == nullptr)
+      continue;
+    if (!entry.owner->OnOutcome(outcome, OwnerContext(*view)))
+      continue;
+    CheckOwner(vm);
+    return;
+  }
+}
+
+void placement_core::state::OnAuthorityRow(const authority_row& row) {
+  authority_claim& claim = Claim(row.key);
+  claim.OnRow(row, now_);
+  OnClaimChanged(row.key);
+}
+
+void placement_core::state::OnAuthorityReadFailed(const authority_key& key) {
+  Claim(key).OnReadFailed(now_);
+  Pump(key);
+}
+
+void placement_core::state::OnAuthorityCommit(
+    const authority_outcome& outcome) {
+  authority_claim& claim = Claim(outcome.row.key);
+  claim.OnOutcome(outcome, now_);
+  OnClaimChanged(outcome.row.key);
+}
+
+void placement_core::state::OnMessage(const instance_id& from,
+                                      const placement_message& message) {
+  std::visit([this, &from](const auto& typed) { Handle(from, typed); },
+             message);
+}
+
+void placement_core::state::OnDrain() {
+  draining_ = true;
+  for (auto& [vm, entry] : vms_) {
+    if (entry.owner)
+      DropOwner(entry);
+    entry.claim.GiveBack();
+    Pump(VmKey(vm));
+  }
+  for (auto& [model, entry] : models_) {
+    entry.decider.reset();
+    entry.claim.GiveBack();
+    Pump(ModelKey(model));
+  }
+}
+
+void placement_core::state::OnTick() {
+  for (auto& [vm, entry] : vms_) {
+    if (!entry.claim.idle())
+      Pump(VmKey(vm));
+    const vm_view* view = site_.FindVm(vm);
+    if (!entry.owner || view == nullptr)
+      continue;
+    entry.owner->OnTick(OwnerContext(*view));
+    if (entry.owner->WantsTableConfirmation(now_)) {
+      entry.claim.Look();
+      Pump(VmKey(vm));
+    }
+  }
+  for (auto& [model, entry] : models_) {
+    if (!entry.claim.idle())
+      Pump(ModelKey(model));
+    Mark(model);
+  }
+  ConsiderVms();
+  RefreshLocalDemand();
+}
+
+void placement_core::state::Settle() {
+  for (int round = 0; round < kSettleRounds; ++round) {
+    TakeSelfMessages();
+    ProcessPending();
+    const std::set<model_id> dirty = std::exchange(dirty_models_, {});
+    for (const model_id& model : dirty) {
+      const auto found = models_.find(model);
+      if (found != models_.end() && found->second.decider)
+        found->second.decider->Step(DeciderContext());
+    }
+    PumpClaims();
+    GrantStore();
+    TakeSelfMessages();
+    if (self_messages_.empty() && dirty_models_.empty() && pump_.empty())
+      break;
+    std::deque<placement_message> messages = std::exchange(self_messages_, {});
+    for (const placement_message& message : messages)
+      OnMessage(self_, message);
+  }
+}
+
+// Accessors.
+
+time_point placement_core::state::NextDeadline(time_point now) const {
+  if (!pending_.empty() || !self_messages_.empty())
+    return now + kBusyTick;
+  for (const auto& [vm, entry] : vms_) {
+    const bool unsettled = entry.owner && !entry.owner->active();
+    if (unsettled || !entry.claim.idle())
+      return now + kBusyTick;
+  }
+  for (const auto& [model, entry] : models_) {
+    const bool busy = entry.decider && entry.decider->Busy();
+    if (busy || !entry.claim.idle() || !entry.early_demand.empty())
+      return now + kBusyTick;
+  }
+  return now + kIdleTick;
+}
+
+std::vector<model_arrivals> placement_core::state::TakeArrivals() {
+  std::vector<model_arrivals> arrivals;
+  for (auto& [model, entry] : models_) {
+    if (!entry.decider)
+      continue;
+    const int64_t count = entry.decider->TakeArrivals();
+    if (count > 0)
+      arrivals.push_back({model, count});
+  }
+  return arrivals;
+}
+
+std::vector<decided_model> placement_core::state::DecidedModels() const {
+  std::vector<decided_model> models;
+  for (const auto& [model, entry] : models_) {
+    if (entry.decider)
+      models.push_back({model, entry.decider->Price(site_)});
+  }
+  return models;
+}
+
+void placement_core::state::SetKeepWarm(const model_id& model, duration keep) {
+  const auto found = models_.find(model);
+  if (found != models_.end() && found->second.decider)
+    found->second.decider->set_keep_warm(keep);
+}
+
+placement_status placement_core::state::Status() const {
+  placement_status status;
+  for (const auto& [vm, entry] : vms_) {
+    vm_placement_status line;
+    line.vm = vm;
+    line.owner = entry.claim.holder();
+    line.number = entry.claim.number();
+    line.held = entry.claim.held();
+    if (entry.owner) {
+      line.active = entry.owner->active();
+      line.charged = entry.owner->ledger().charged();
+      line.capacity = entry.owner->ledger().capacity();
+      line.models = entry.owner->Models();
+    }
+    status.vms.push_back(std::move(line));
+  }
+  for (const auto& [model, entry] : models_) {
+    model_placement_status line;
+    line.model = model;
+    line.decider = DeciderOf(model);
+    line.number = std::max(entry.claim.number(), entry.hinted_epoch);
+    line.held = entry.claim.held();
+    if (entry.decider) {
+      line.decided = entry.decider->decided();
+      line.waiting = entry.decider->waiting();
+      line.running = entry.decider->running();
+      line.replicas = entry.decider->Replicas(site_);
+    }
+    status.models.push_back(std::move(line));
+  }
+  return status;
+}
+
+bool placement_core::state::drained() const {
+  if (!draining_)
+    return false;
+  const auto is_idle = [](const auto& item) {
+    return item.second.claim.idle() && !item.second.claim.held();
+  };
+  return std::all_of(vms_.begin(), vms_.end(), is_idle) &&
+         std::all_of(models_.begin(), models_.end(), is_idle);
+}
+
+// Lookups.
+
+placement_core::state::vm_entry& placement_core::state::Vm(const vm_id& vm) {
+  const auto found = vms_.find(vm);
+  if (found != vms_.end())
+    return found->second;
+  vm_entry entry{authority_claim(VmKey(vm), self_, limits_.table_retry), {}};
+  return vms_.emplace(vm, std::move(entry)).first->second;
+}
+
+placement_core::state::model_entry& placement_core::state::Model(
+    const model_id& model) {
+  const auto found = models_.find(model);
+  if (found != models_.end())
+    return found->second;
+  model_entry entry{
+      authority_claim(ModelKey(model), self_, limits_.table_retry),
+      {},
+      {},
+      {},
+      {},
+      {}};
+  return models_.emplace(model, std::move(entry)).first->second;
+}
+
+authority_claim& placement_core::state::Claim(const authority_key& key) {
+  if (key.kind == authority_kind::vm)
+    return Vm(vm_id(key.id)).claim;
+  return Model(model_id(key.id)).claim;
+}
+
+bool placement_core::state::Ended(const instance_id& instance) const {
+  return ended_.contains(instance);
+}
+
+bool placement_core::state::Silent(const instance_id& instance) const {
+  if (suspected_.contains(instance))
+    return true;
+  const auto absent = absent_since_.find(instance);
+  return absent != absent_since_.end() &&
+         now_ - absent->second >= limits_.holder_absence;
+}
+
+bool placement_core::state::Available(const instance_id& instance) const {
+  if (instance == self_)
+    return !draining_;
+  return peers_.contains(instance) && !Ended(instance) &&
+         !suspected_.contains(instance);
+}
+
+std::set<instance_id> placement_core::state::Unavailable() const {
+  std::set<instance_id> unavailable = suspected_;
+  unavailable.insert(ended_.begin(), ended_.end());
+  if (draining_)
+    unavailable.insert(self_);
+  return unavailable;
+}
+
+instance_id placement_core::state::Candidate(const std::string& key) const {
+  return RendezvousChoice(key, peers_, Unavailable());
+}
+
+instance_id placement_core::state::OwnerOf(const vm_id& vm) const {
+  const auto found = vms_.find(vm);
+  if (found != vms_.end()) {
+    const instance_id& holder = found->second.claim.holder();
+    if (!holder.empty() && Available(holder))
+      return holder;
+  }
+  return Candidate("vm/" + vm.value());
+}
+
+instance_id placement_core::state::DeciderOf(const model_id& model) const {
+  const auto found = models_.find(model);
+  if (found != models_.end()) {
+    const model_entry& entry = found->second;
+    const bool hinted = entry.hinted_epoch >= entry.claim.number();
+    if (hinted && !entry.hinted_holder.empty() &&
+        Available(entry.hinted_holder))
+      return entry.hinted_holder;
+    const instance_id& holder = entry.claim.holder();
+    if (!holder.empty() && Available(holder))
+      return holder;
+  }
+  return Candidate("model/" + model.value());
+}
+
+instance_id placement_core::state::StoreGate() const {
+  return Candidate(kStoreKey);
+}
+
+void placement_core::state::NoteAbsentHolder(const instance_id& holder) {
+  if (holder.empty() || peers_.contains(holder) || Ended(holder))
+    return;
+  absent_since_.try_emplace(holder, now_);
+}
+
+void placement_core::state::Send(const instance_id& to,
+                                 placement_message message) {
+  if (!to.empty())
+    actions_->push_back(send_placement_message{to, std::move(message)});
+}
+
+void placement_core::state::SendNotice(const instance_id& to,
+                                       const authority_claim& claim) {
+  if (!claim.known() || to == self_)
+    return;
+  Send(to, holder_notice{claim.key().kind, claim.key().id, claim.holder(),
+                         claim.number(), claim.version()});
+}
+
+owner_context placement_core::state::OwnerContext(const vm_view& vm) {
+  gate_holder_ = StoreGate();
+  return {vm, site_, gate_holder_, now_, *actions_};
+}
+
+decider_context placement_core::state::DeciderContext() {
+  return {site_, owner_of_, decider_of_, now_, *actions_};
+}
+
+void placement_core::state::MarkAll() {
+  for (const auto& [model, entry] : models_)
+    Mark(model);
+}
+
+// Authorities.
+
+bool placement_core::state::MayTakeVm(const vm_id& vm,
+                                      const authority_claim& claim) const {
+  if (draining_ || claim.held() || claim.giving_back())
+    return false;
+  const instance_id& holder = claim.holder();
+  if (holder.empty() || Ended(holder))
+    return true;
+  const vm_view* view = site_.FindVm(vm);
+  return view != nullptr && view->endpoint.honours_fencing && Silent(holder);
+}
+
+bool placement_core::state::MayTakeModel(const authority_claim& claim) const {
+  if (draining_ || claim.held() || claim.giving_back())
+    return false;
+  const instance_id& holder = claim.holder();
+  return holder.empty() || Ended(holder) || Silent(holder);
+}
+
+void placement_core::state::ConsiderVm(const vm_id& vm) {
+  vm_entry& entry = Vm(vm);
+  NoteAbsentHolder(entry.claim.holder());
+  if (!MayTakeVm(vm, entry.claim))
+    return;
+  entry.claim.Take();
+  Pump(VmKey(vm));
+}
+
+void placement_core::state::ConsiderVms() {
+  if (!configured_ || draining_)
+    return;
+  for (const auto& [vm, view] : site_.vms()) {
+    if (view.gone || view.leaving)
+      continue;
+    const auto found = vms_.find(vm);
+    if (found != vms_.end() &&
+        (found->second.claim.held() || Available(found->second.claim.holder())))
+      continue;
+    if (Candidate("vm/" + vm.value()) == self_)
+      ConsiderVm(vm);
+  }
+}
+
+void placement_core::state::OnClaimChanged(const authority_key& key) {
+  Pump(key);
+  if (key.kind == authority_kind::vm)
+    OnVmClaimChanged(vm_id(key.id));
+  else
+    OnModelClaimChanged(model_id(key.id));
+}
+
+void placement_core::state::OnVmClaimChanged(const vm_id& vm) {
+  vm_entry& entry = Vm(vm);
+  const vm_view* view = site_.FindVm(vm);
+  NoteAbsentHolder(entry.claim.holder());
+  const bool stale_owner =
+      entry.owner && (!entry.claim.held() ||
+                      entry.owner->number() != entry.claim.held_epoch());
+  if (stale_owner)
+    DropOwner(entry);
+  if (entry.claim.held() && !entry.owner && view != nullptr) {
+    entry.owner.emplace(vm, entry.claim.held_epoch(), self_, limits_);
+    entry.owner->Start(OwnerContext(*view));
+  }
+  if (entry.owner && view != nullptr)
+    entry.owner->OnTableConfirmation(entry.claim.confirmed_at(),
+                                     OwnerContext(*view));
+  const bool given_back =
+      draining_ && entry.claim.idle() && entry.claim.holder().empty();
+  if (given_back)
+    SendNotice(Candidate("vm/" + vm.value()), entry.claim);
+}
+
+void placement_core::state::OnModelClaimChanged(const model_id& model) {
+  model_entry& entry = Model(model);
+  NoteAbsentHolder(entry.claim.holder());
+  const bool stale_decider =
+      entry.decider && (!entry.claim.held() ||
+                        entry.decider->number() != entry.claim.held_epoch());
+  if (stale_decider)
+    entry.decider.reset();
+  if (entry.claim.held() && !entry.decider) {
+    entry.decider.emplace(model, entry.claim.held_epoch(), limits_);
+    entry.hinted_holder = self_;
+    entry.hinted_epoch = entry.claim.held_epoch();
+  }
+  if (entry.decider) {
+    for (const auto& [from, demand] : std::exchange(entry.early_demand, {}))
+      entry.decider->OnDemand(from, demand, now_);
+    Mark(model);
+  } else if (Available(entry.claim.holder())) {
+    for (const auto& [from, demand] : std::exchange(entry.early_demand, {}))
+      SendNotice(from, entry.claim);
+  }
+  const bool given_back =
+      draining_ && entry.claim.idle() && entry.claim.holder().empty();
+  if (given_back) {
+    for (const instance_id& sender : std::exchange(entry.senders, {}))
+      SendNotice(sender, entry.claim);
+  }
+  const auto local = local_.find(model);
+  if (local != local_.end())
+    local->second.dirty = local->second.dirty || local->second.present;
+  RefreshLocalDemand();
+}
+
+void placement_core::state::DropOwner(vm_entry& entry) {
+  for (const std::string& load : entry.owner->StoreLoads())
+    Send(StoreGate(), store_release{load});
+  entry.owner.reset();
+}
+
+void placement_core::state::CheckOwner(const vm_id& vm) {
+  vm_entry& entry = Vm(vm);
+  if (!entry.owner)
+    return;
+  if (entry.owner->current_phase() != vm_owner::phase::superseded)
+    return;
+  const epoch fence = entry.owner->engine_fence();
+  DropOwner(entry);
+  entry.claim.Renew(fence);
+  Pump(VmKey(vm));
+}
+
+void placement_core::state::AdoptUndecided(const vm_id& vm) {
+  const vm_entry& entry = Vm(vm);
+  if (!entry.owner)
+    return;
+  for (const model_id& model : entry.owner->UndecidedModels()) {
+    if (site_.FindModel(model) == nullptr)
+      continue;
+    replica_report report;
+    report.model = model;
+    report.vm = vm;
+    report.reason = report_reason::changed;
+    report.state = replica_state::resident;
+    Send(DeciderOf(model), std::move(report));
+  }
+}
+
+// Messages.
+
+void placement_core::state::Handle(const instance_id& from,
+                                   const demand_report& message) {
+  for (const model_demand& demand : message.demands)
+    OnDemand(from, demand);
+}
+
+void placement_core::state::Handle(const instance_id&,
+                                   const holder_notice& message) {
+  const authority_key key{message.kind, message.id};
+  if (!Claim(key).OnNotice(message))
+    return;
+  OnClaimChanged(key);
+  if (message.kind == authority_kind::vm && site_.FindVm(vm_id(message.id)))
+    ConsiderVms();
+}
+
+void placement_core::state::Handle(const instance_id& from,
+                                   const promise_request& message) {
+  OnVmRequest(from, message);
+}
+
+void placement_core::state::Handle(const instance_id& from,
+                                   const load_request& message) {
+  OnVmRequest(from, message);
+}
+
+void placement_core::state::Handle(const instance_id& from,
+                                   const unload_request& message) {
+  OnVmRequest(from, message);
+}
+
+void placement_core::state::Handle(const instance_id& from,
+                                   const replica_report& message) {
+  model_entry& entry = Model(message.model);
+  if (message.reason == report_reason::stale_epoch && entry.decider &&
+      message.model_epoch == entry.decider->number()) {
+    entry.claim.Look();
+    Pump(ModelKey(message.model));
+    return;
+  }
+  if (entry.decider) {
+    entry.decider->OnReport(from, message, now_);
+    Mark(message.model);
+    return;
+  }
+  // A replica that nobody decides about: take the model to unload it in time.
+  const bool undecided = message.model_epoch == epoch();
+  if (!undecided || site_.FindModel(message.model) == nullptr)
+    return;
+  if (MayTakeModel(entry.claim)) {
+    entry.claim.Take();
+    Pump(ModelKey(message.model));
+  }
+}
+
+void placement_core::state::Handle(const instance_id& from,
+                                   const model_notice& message) {
+  model_entry& entry = Model(message.model);
+  if (message.model_epoch < std::max(entry.claim.number(), entry.hinted_epoch))
+    return;
+  entry.hinted_holder = from;
+  entry.hinted_epoch = message.model_epoch;
+  for (const endpoint_id& endpoint : message.ready)
+    actions_->push_back(replica_ready{message.model, endpoint});
+  actions_->push_back(load_estimate{message.model, message.estimate});
+}
+
+void placement_core::state::Handle(const instance_id&,
+                                   const eviction_request& message) {
+  model_entry& entry = Model(message.victim);
+  if (entry.decider) {
+    entry.decider->OnEviction(message, DeciderContext());
+    return;
+  }
+  const bool known = site_.FindModel(message.victim) != nullptr;
+  if (!known || !MayTakeModel(entry.claim))
+    return;
+  entry.claim.Take();
+  Pump(ModelKey(message.victim));
+}
+
+void placement_core::state::Handle(const instance_id&,
+                                   const adapter_request& message) {
+  const auto found = vms_.find(message.vm);
+  const vm_view* view = site_.FindVm(message.vm);
+  if (found == vms_.end() || view == nullptr)
+    return;
+  if (found->second.owner && found->second.owner->active())
+    found->second.owner->OnAdapter(message, OwnerContext(*view));
+}
+
+void placement_core::state::Handle(const instance_id& from,
+                                   const store_request& message) {
+  gate_.OnRequest(from, message, now_);
+}
+
+void placement_core::state::Handle(const instance_id& from,
+                                   const store_grant& message) {
+  for (auto& [vm, entry] : vms_) {
+    const vm_view* view = site_.FindVm(vm);
+    if (!entry.owner || view == nullptr)
+      continue;
+    if (entry.owner->OnGrant(message, OwnerContext(*view)))
+      return;
+  }
+  Send(from, store_release{message.load});
+}
+
+void placement_core::state::Handle(const instance_id&,
+                                   const store_release& message) {
+  gate_.OnRelease(message);
+}
+
+void placement_core::state::OnDemand(const instance_id& from,
+                                     const model_demand& demand) {
+  if (site_.FindModel(demand.model) == nullptr)
+    return;
+  model_entry& entry = Model(demand.model);
+  if (from != self_)
+    entry.senders.insert(from);
+  if (entry.decider) {
+    entry.decider->OnDemand(from, demand, now_);
+    Mark(demand.model);
+    return;
+  }
+  if (demand.waiting + demand.running == 0)
+    return;
+  if (Available(entry.claim.holder())) {
+    SendNotice(from, entry.claim);
+    return;
+  }
+  if (MayTakeModel(entry.claim)) {
+    entry.early_demand[from] = demand;
+    entry.claim.Take();
+    Pump(ModelKey(demand.model));
+    return;
+  }
+  if (draining_)
+    Send(Candidate("model/" + demand.model.value()), demand_report{{demand}});
+}
+
+template <typename Request>
+void placement_core::state::OnVmRequest(const instance_id& from,
+                                        const Request& request) {
+  const request_key key{request.vm, request.model};
+  if (site_.FindVm(request.vm) == nullptr)
+    return;
+  vm_entry& entry = Vm(request.vm);
+  if (!entry.owner) {
+    SendNotice(from, entry.claim);
+    if (!Available(entry.claim.holder()))
+      ConsiderVm(request.vm);
+  }
+  const pending_request pending{from, request};
+  if (!TryPending(key, pending))
+    pending_[key] = pending;
+}
+
+bool placement_core::state::TryPending(const request_key& key,
+                                       const pending_request& pending) {
+  vm_entry& entry = Vm(key.vm);
+  const vm_view* view = site_.FindVm(key.vm);
+  if (view == nullptr || (!entry.owner && entry.claim.idle()))
+    return true;
+  if (!entry.owner || !entry.owner->active())
+    return false;
+  // Another owner may have promised a higher epoch before: the row, read since
+  // this owner became active, shows it.
+  authority_claim& claim = Model(key.model).claim;
+  if (claim.confirmed_at() < entry.owner->active_since() || !claim.known()) {
+    claim.Look();
+    Pump(ModelKey(key.model));
+    return false;
+  }
+  std::visit(
+      [this, &key, &pending, &entry, &claim, view](const auto& request) {
+        if (request.model_epoch < claim.number()) {
+          RefuseStale(pending.from, key, request.model_epoch, request.sequence);
+          return;
+        }
+        using kind = std::decay_t<decltype(request)>;
+        if constexpr (std::is_same_v<kind, promise_request>)
+          entry.owner->OnPromise(pending.from, request, OwnerContext(*view));
+        else if constexpr (std::is_same_v<kind, load_request>)
+          entry.owner->OnLoad(pending.from, request, OwnerContext(*view));
+        else
+          entry.owner->OnUnload(pending.from, request, OwnerContext(*view));
+      },
+      pending.request);
+  return true;
+}
+
+void placement_core::state::ProcessPending() {
+  std::erase_if(pending_, [this](const auto& item) {
+    return TryPending(item.first, item.second);
+  });
+}
+
+void placement_core::state::RefuseStale(const instance_id& to,
+                                        const request_key& key,
+                                        epoch model_epoch,
+                                        int64_t sequence) {
+  replica_report report;
+  report.model = key.model;
+  report.model_epoch = model_epoch;
+  report.vm = key.vm;
+  report.sequence = sequence;
+  report.state = replica_state::loading;
+  report.reason = report_reason::stale_epoch;
+  Send(to, std::move(report));
+}
+
+void placement_core::state::SendLocalDemand(const model_id& model,
+                                            local_demand& entry) {
+  const instance_id target = DeciderOf(model);
+  if (target.empty())
+    return;
+  entry.dirty = false;
+  entry.sent_at = now_;
+  entry.sent_to = target;
+  Send(target, demand_report{{entry.demand}});
+}
+
+void placement_core::state::RefreshLocalDemand() {
+  for (auto& [model, entry] : local_) {
+    const bool due =
+        entry.present && (now_ - entry.sent_at >= limits_.demand_refresh ||
+                          entry.sent_to != DeciderOf(model));
+    if (entry.dirty || due)
+      SendLocalDemand(model, entry);
+  }
+}
+
+// Consequences within the node.
+
+void placement_core::state::PumpClaims() {
+  const std::set<authority_key> keys = std::exchange(pump_, {});
+  for (const authority_key& key : keys) {
+    authority_claim& claim = Claim(key);
+    switch (claim.NextStep(now_)) {
+      case authority_claim::step::none:
+        break;
+      case authority_claim::step::read:
+        actions_->push_back(read_authority{key});
+        break;
+      case authority_claim::step::write:
+        actions_->push_back(commit_authority{claim.write()});
+        break;
+    }
+  }
+}
+
+void placement_core::state::GrantStore() {
+  for (const store_gate::granted_load& grant : gate_.TakeGrants(now_))
+    Send(grant.to, store_grant{grant.load});
+}
+
+void placement_core::state::TakeSelfMessages() {
+  action_list kept;
+  for (std::size_t i = first_action_; i < actions_->size(); ++i) {
+    placement_action& action = (*actions_)[i];
+    auto* message = std::get_if<send_placement_message>(&action);
+    if (message != nullptr && message->to == self_)
+      self_messages_.push_back(std::move(message->message));
+    else
+      kept.push_back(std::move(action));
+  }
+  actions_->resize(first_action_);
+  for (placement_action& action : kept)
+    actions_->push_back(std::move(action));
+}
+
+}  // namespace jasminepath::decision
--- /dev/null
+++ b/packages/decision/src/placement/site_view.h
@@ -0,0 +1,83 @@
+#ifndef JASMINEPATH_DECISION_SRC_PLACEMENT_SITE_VIEW_H_
+#define JASMINEPATH_DECISION_SRC_PLACEMENT_SITE_VIEW_H_
+
+#include <map>
+#include <memory>
+#include <set>
+#include <unordered_map>
+#include <vector>
+
+#include "jasminepath/base/boot_time.h"
+#include "jasminepath/base/ids.h"
+#include "jasminepath/config/configuration.h"
+#include "jasminepath/decision/placement/endpoint_status.h"
+#include "jasminepath/decision/placement/messages.h"
+
+namespace jasminepath::decision {
+
+// One engine VM as this node sees it.
+struct vm_view {
+  vm_id vm;
+  config::endpoint endpoint;
+  service_id service;
+  // The last status; nothing is known before the first.
+  endpoint_status status;
+  bool has_status = false;
+  // The last status is no older than this.
+  time_point observed_at;
+  bool reachable = false;
+  bool leaving = false;
+  // It has left the platform's list after having been on it.
+  bool gone = false;
+};
+
+// A model with the service that offers it.
+struct model_view {
+  config::model model;
+  service_id service;
+  int64_t endpoint_concurrency = 1;
+  std::vector<vm_id> vms;
+};
+
+// Configuration, VM list and engine statuses, indexed for placement. A VM runs
+// at most one engine.
+class site_view {
+ public:
+  void OnConfiguration(const config::configuration& source);
+  void OnVmList(const std::vector<vm_id>& live,
+                const std::vector<vm_id>& leaving);
+  // Returns the VM of the engine, or null if it is not one.
+  const vm_view* OnStatus(const endpoint_status& status, time_point now);
+  const vm_view* OnUnreachable(const endpoint_id& endpoint);
+
+  const vm_view* FindVm(const vm_id& vm) const;
+  const vm_view* FindEndpoint(const endpoint_id& endpoint) const;
+  const model_view* FindModel(const model_id& model) const;
+  // Whether the VM has left the platform's list after having been on it.
+  bool Gone(const vm_id& vm) const { return gone_.contains(vm); }
+  const std::map<vm_id, vm_view>& vms() const { return vms_; }
+  const config::site_weights& weights() const { return weights_; }
+  const config::weight_store& store() const { return store_; }
+
+  // Memory that a replica takes; 0 if the model is not known.
+  bytes ReplicaSize(const model_id& model) const;
+  bytes AdapterSize(const model_id& model, const adapter_id& adapter) const;
+  // The nearest copy of the model's weights for the VM.
+  weight_source NearestSource(const model_view& model, const vm_view& vm) const;
+  // Time of one load from there at full speed.
+  static duration LoadTime(const config::model& model, weight_source source);
+
+ private:
+  std::map<vm_id, vm_view> vms_;
+  std::unordered_map<endpoint_id, vm_id> vm_of_;
+  std::unordered_map<model_id, model_view> models_;
+  std::set<vm_id> listed_;
+  std::set<vm_id> leaving_;
+  std::set<vm_id> gone_;
+  config::site_weights weights_;
+  config::weight_store store_;
+};
+
+}  // namespace jasminepath::decision
+
+#endif  // JASMINEPATH_DECISION_SRC_PLACEMENT_SITE_VIEW_H_
--- /dev/null
+++ b/packages/decision/src/placement/vm_owner.h
@@ -0,0 +1,229 @@
+#ifndef JASMINEPATH_DECISION_SRC_PLACEMENT_VM_OWNER_H_
+#define JASMINEPATH_DECISION_SRC_PLACEMENT_VM_OWNER_H_
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jasminepath/base/boot_time.h"
+#include "jasminepath/base/ids.h"
+#include "jasminepath/base/units.h"
+#include "jasminepath/decision/placement/messages.h"
+#include "jasminepath/decision/placement/placement_action.h"
+#include "jasminepath/decision/placement/placement_core.h"
+#include "placement/memory_ledger.h"
+#include "placement/site_view.h"
+
+namespace jasminepath::decision {
+
+// What an owner sees and does during one event.
+struct owner_context {
+  const vm_view& vm;
+  const site_view& site;
+  // The node that paces the weight store.
+  const instance_id& store_gate;
+  time_point now;
+  std::vector<placement_action>& actions;
+};
+
+// Holds the authority over one VM: the only sender of orders to its engine and
+// the keeper of its memory ledger. Sends no load before it has raised the
+// engine's fence (or outwaited the last owner's orders) and read back what is
+// loaded. The caller has checked a request's epoch against the model's row.
+class vm_owner {
+ public:
+  enum class phase {
+    fencing,     // Waits for the engine to accept this owner's epoch.
+    reading,     // Waits for a status that shows what was loaded before.
+    active,      // Takes requests.
+    superseded,  // The engine knows a higher epoch; sends nothing more.
+  };
+
+  vm_owner(vm_id vm,
+           epoch number,
+           instance_id self,
+           const placement_limits& limits);
+
+  epoch number() const { return number_; }
+  phase current_phase() const { return phase_; }
+  bool active() const { return phase_ == phase::active; }
+  // When it became active.
+  time_point active_since() const { return active_since_; }
+  // The highest fencing number that the engine has shown.
+  epoch engine_fence() const { return engine_fence_; }
+  const memory_ledger& ledger() const { return ledger_; }
+  std::vector<model_id> Models() const;
+  // Models that are loaded here and that no decider has asked about.
+  std::vector<model_id> UndecidedModels() const;
+
+  void Start(const owner_context& context);
+  void OnStatus(const owner_context& context);
+  // Returns false if the order is not one of this owner's.
+  bool OnOutcome(const order_outcome& outcome, const owner_context& context);
+  void OnTick(const owner_context& context);
+
+  // Requests of deciders; only while active.
+  void OnPromise(const instance_id& from,
+                 const promise_request& request,
+                 const owner_context& context);
+  void OnLoad(const instance_id& from,
+              const load_request& request,
+              const owner_context& context);
+  void OnUnload(const instance_id& from,
+                const unload_request& request,
+                const owner_context& context);
+  void OnAdapter(const adapter_request& request, const owner_context& context);
+  // Returns false if the load is not one of this owner's.
+  bool OnGrant(const store_grant& grant, const owner_context& context);
+
+  // Promises that only the table can confirm, since the engine does not
+  // answer. The row was read, asked for at `asked_at`, and names this owner.
+  bool WantsTableConfirmation(time_point now) const;
+  void OnTableConfirmation(time_point asked_at, const owner_context& context);
+
+  // Takes from the store that end with this owner's hold.
+  std::vector<std::string> StoreLoads() const;
+
+ private:
+  // A load's passage through the weight store.
+  enum class store_use { none, waiting, running };
+
+  // An adapter that is loaded, or may be.
+  struct adapter_entry {
+    bool listed = false;
+    std::string order;
+    std::string load;
+    store_use store = store_use::none;
+    // A status taken after this that does not list it proves its absence.
+    time_point settled_at;
+    time_point last_used;
+  };
+
+  // A replica that is loaded, or may be.
+  struct replica_entry {
+    replica_state state = replica_state::loading;
+    std::string version;
+    bool listed = false;
+    weight_source source = weight_source::remote;
+    double urgency = 0;
+    // Orders without an outcome; empty if none.
+    std::string load_order;
+    std::string unload_order;
+    // Name of the load at the weight store.
+    std::string load;
+    store_use store = store_use::none;
+    time_point asked_store_at;
+    // A status taken after these settles what became of the orders.
+    time_point settled_at;
+    time_point unload_settled_at;
+    std::map<adapter_id, adapter_entry> adapters;
+  };
+
+  // What a decider was promised.
+  struct promise {
+    epoch number;
+    int64_t sequence = 0;
+    instance_id decider;
+    // The engine, or the table, has shown since that this owner was current.
+    bool confirmed = false;
+    time_point asked_at;
+  };
+
+  struct pending_order {
+    order_kind kind = order_kind::fence;
+    model_id model;
+    adapter_id adapter;
+    time_point expires;
+  };
+
+  std::string SendOrder(endpoint_order order, const owner_context& context);
+  void SendFence(const owner_context& context);
+  void Send(const instance_id& to,
+            placement_message message,
+            const owner_context& context);
+  void SendLoadOrder(const model_id& model,
+                     replica_entry& replica,
+                     const owner_context& context);
+  void SendAdapterOrder(const model_id& model,
+                        const adapter_id& adapter,
+                        adapter_entry& entry,
+                        const owner_context& context);
+  void AskStore(store_load kind,
+                const std::string& load,
+                double urgency,
+                const owner_context& context);
+  void ReleaseStore(std::string& load,
+                    store_use& store,
+                    const owner_context& context);
+  void Report(const model_id& model,
+              report_reason reason,
+              const owner_context& context);
+  void Refuse(const instance_id& to,
+              const model_id& model,
+              epoch model_epoch,
+              int64_t sequence,
+              report_reason reason,
+              const owner_context& context);
+  // Takes in the head of a request; false if it was answered already.
+  bool Admit(const instance_id& from,
+             const model_id& model,
+             epoch model_epoch,
+             int64_t sequence,
+             const owner_context& context);
+  // Has the engine confirm that this owner is current before the promise of
+  // the model is reported.
+  void AskConfirmation(const model_id& model, const owner_context& context);
+  void Supersede(epoch fence);
+  void Activate(const owner_context& context);
+  void Reconcile(const owner_context& context);
+  void ReconcileListed(const resident_model& listed,
+                       const owner_context& context);
+  void ReconcileAdapters(const resident_model& listed,
+                         replica_entry& replica,
+                         const owner_context& context);
+  void ReconcileAbsent(const std::set<model_id>& listed,
+                       const owner_context& context);
+  void Remove(const model_id& model,
+              report_reason reason,
+              const owner_context& context);
+  bool MakeAdapterRoom(bytes size, const owner_context& context);
+  void OnFenceOutcome(order_end end, const owner_context& context);
+  void OnLoadOutcome(const pending_order& order,
+                     order_end end,
+                     const owner_context& context);
+  void OnUnloadOutcome(const pending_order& order,
+                       order_end end,
+                       const owner_context& context);
+  void OnAdapterOutcome(const pending_order& order,
+                        order_end end,
+                        const owner_context& context);
+  void ConfirmPromises(const std::set<model_id>& models,
+                       const owner_context& context);
+  bool HonoursFencing(const owner_context& context) const;
+  std::string NextName(const char* kind);
+
+  vm_id vm_;
+  epoch number_;
+  instance_id self_;
+  placement_limits limits_;
+  phase phase_ = phase::fencing;
+  time_point read_after_;
+  time_point active_since_;
+  epoch engine_fence_;
+  memory_ledger ledger_;
+  std::map<model_id, replica_entry> replicas_;
+  std::map<model_id, promise> promises_;
+  std::map<std::string, pending_order> orders_;
+  int64_t last_name_ = 0;
+  int64_t last_report_ = 0;
+  // The fence order under way, what it confirms, and what the next one shall.
+  std::string fence_order_;
+  time_point fence_retry_at_;
+  std::set<model_id> confirming_;
+  std::set<model_id> unconfirmed_;
+};
+
+}  // namespace jasminepath::decision
+
+#endif  // JASMINEPATH_DECISION_SRC_PLACEMENT_VM_OWNER_H_
--- /dev/null
+++ b/packages/decision/src/routing/router_state.h
@@ -0,0 +1,141 @@
+#ifndef JASMINEPATH_DECISION_SRC_ROUTING_ROUTER_STATE_H_
+#define JASMINEPATH_DECISION_SRC_ROUTING_ROUTER_STATE_H_
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "jasminepath/decision/routing/router.h"
+#include "routing/endpoint_health.h"
+#include "routing/load_tracker.h"
+#include "routing/prefix_index.h"
+
+namespace jasminepath::decision {
+
+// What the router holds: endpoints by number, and pools of those that can take
+// a model's or a plain service's calls. A pool's members are gathered again
+// only when residence, rotation or the VM list has changed, so that a pick
+// costs the same however many endpoints there are.
+class router::state {
+ public:
+  state(zone_id zone, random_engine random, routing_limits limits);
+
+  void OnConfiguration(const config::configuration& source);
+  void OnEndpointStatus(const endpoint_status& status, time_point now);
+  void OnEndpointUnreachable(const endpoint_id& endpoint, time_point now);
+  void OnVmList(const std::vector<vm_id>& leaving,
+                const std::vector<vm_id>& live);
+  void OnCacheEvents(const std::vector<cache_event>& events);
+  void OnReplicaReady(const model_id& model,
+                      const endpoint_id& endpoint,
+                      time_point now);
+  void OnLoadEstimate(const model_id& model, duration estimate, time_point now);
+  routing_choice Pick(const routing_query& query, time_point now);
+  void OnDispatched(const endpoint_id& endpoint,
+                    const routing_query& query,
+                    time_point now);
+  void OnFinished(const endpoint_id& endpoint, attempt_end end, time_point now);
+  bool WantsFreshConnection(const endpoint_id& endpoint) const;
+  std::vector<adapter_need> TakeAdapterNeeds();
+  bool HasReadyReplica(const model_id& model) const;
+  std::vector<endpoint_routing_status> Status(time_point now) const;
+
+ private:
+  // A model that is ready at an endpoint.
+  struct ready_model {
+    model_id model;
+    std::string version;
+    std::vector<adapter_id> adapters;
+  };
+
+  struct endpoint_entry {
+    config::endpoint endpoint;
+    service_id service;
+    int64_t concurrency = 1;
+    bool configured = false;
+    bool leaving = false;
+    bool same_zone = false;
+    std::string incarnation;
+    time_point observed_at = time_point::min();
+    std::vector<ready_model> ready;
+    load_tracker load;
+    endpoint_health health;
+    std::string cache_incarnation;
+    int64_t cache_sequence = 0;
+  };
+
+  // Endpoints for the calls of one model or plain service.
+  struct pool {
+    service_id service;
+    bool plain = false;
+    model_id model;
+    std::string version;
+    std::vector<uint32_t> endpoints;
+    // Gathered from `endpoints`: those that can take calls, and those that
+    // could if they were not out of rotation.
+    std::vector<uint32_t> in_rotation;
+    std::vector<uint32_t> out_of_rotation;
+    bool stale = true;
+    // Earliest time that a replica can be ready.
+    std::optional<time_point> ready_at;
+  };
+
+  // The best endpoint so far.
+  struct candidate {
+    uint32_t number = prefix_index::kNone;
+    double score = 0;
+  };
+
+  uint32_t Number(const endpoint_id& endpoint) const;
+  pool* FindPool(const routing_query& query);
+  const ready_model* FindReady(const endpoint_entry& entry,
+                               const model_id& model) const;
+  void MarkStale(const endpoint_entry& entry);
+  void Gather(pool& members);
+  bool Serves(const endpoint_entry& entry, const pool& members) const;
+  bool MayTake(uint32_t number,
+               const routing_query& query,
+               time_point now) const;
+  double Score(uint32_t number, const routing_query& query) const;
+  uint32_t PickByPrefix(const pool& members,
+                        const routing_query& query,
+                        time_point now) const;
+  uint32_t PickProbe(const pool& members,
+                     const routing_query& query,
+                     time_point now) const;
+  uint32_t PickByLoad(const std::vector<uint32_t>& members,
+                      const routing_query& query,
+                      time_point now);
+  uint32_t PickOutOfRotation(const pool& members,
+                             const routing_query& query) const;
+  void Consider(uint32_t number,
+                const routing_query& query,
+                time_point now,
+                candidate& best) const;
+  routing_verdict WhyNone(const pool& members,
+                          const routing_query& query,
+                          time_point now) const;
+  routing_choice Chosen(uint32_t number, const routing_query& query);
+  double MeanLoad(const pool& members) const;
+
+  zone_id zone_;
+  random_engine random_;
+  routing_limits limits_;
+  std::vector<endpoint_entry> endpoints_;
+  std::unordered_map<endpoint_id, uint32_t> numbers_;
+  std::vector<pool> pools_;
+  std::unordered_map<model_id, uint32_t> model_pools_;
+  std::unordered_map<service_id, uint32_t> service_pools_;
+  std::set<vm_id> listed_;
+  std::set<vm_id> leaving_;
+  std::set<vm_id> gone_;
+  prefix_index prefixes_;
+  std::vector<adapter_need> adapter_needs_;
+};
+
+}  // namespace jasminepath::decision
+
+#endif  // JASMINEPATH_DECISION_SRC_ROUTING_ROUTER_STATE_H_
--- /dev/null
+++ b/packages/decision/tests/placement/placement_burst_test.cc
@@ -0,0 +1,61 @@
+#include <boost/test/unit_test.hpp>
+
+#include "placement/placement_world.h"
+
+namespace jasminepath::decision {
+namespace {
+
+BOOST_AUTO_TEST_CASE(BurstAtEightNodesMakesOneLoadOrder) {
+  world_options options;
+  options.nodes = 8;
+  options.vms = 9;
+  placement_world world(options);
+  world.RunFor(Seconds(5));
+  for (int i = 0; i < options.nodes; ++i)
+    world.AddDemand(i, 0, 25);
+  world.RunFor(Seconds(10));
+  BOOST_TEST(world.violation() == "");
+  BOOST_TEST(world.Unserved() == "");
+  BOOST_TEST(world.load_orders() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(IdleModelIsUnloadedAfterTheTimeout) {
+  world_options options;
+  placement_world world(options);
+  world.RunFor(Seconds(5));
+  world.AddDemand(0, 1, 1);
+  world.RunFor(Seconds(10));
+  BOOST_TEST(world.ResidentCount(1) == 1);
+  world.RunFor(Seconds(40));
+  BOOST_TEST(world.ResidentCount(1) == 0);
+}
+
+BOOST_AUTO_TEST_CASE(MoreModelsThanRoomAreServedByEviction) {
+  world_options options;
+  options.models = 6;
+  options.vms = 2;
+  placement_world world(options);
+  world.RunFor(Seconds(5));
+  for (int model = 0; model < options.models; ++model)
+    world.AddDemand(model % options.nodes, model, 2);
+  world.RunFor(Seconds(60));
+  BOOST_TEST(world.violation() == "");
+  BOOST_TEST(world.Unserved() == "");
+}
+
+BOOST_AUTO_TEST_CASE(QuietSiteAsksNothingOfTheTable) {
+  world_options options;
+  placement_world world(options);
+  world.RunFor(Seconds(5));
+  world.AddDemand(0, 0, 1);
+  world.RunFor(Seconds(10));
+  const int64_t reads = world.table_reads();
+  const int64_t writes = world.table_writes();
+  world.AddDemand(1, 0, 5);
+  world.RunFor(Seconds(60));
+  BOOST_TEST(world.table_reads() == reads);
+  BOOST_TEST(world.table_writes() == writes);
+}
+
+}  // namespace
+}  // namespace jasminepath::decision
--- /dev/null
+++ b/packages/decision/tests/placement/placement_world.h
@@ -0,0 +1,161 @@
+#ifndef JASMINEPATH_DECISION_TESTS_PLACEMENT_PLACEMENT_WORLD_H_
+#define JASMINEPATH_DECISION_TESTS_PLACEMENT_PLACEMENT_WORLD_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "jasminepath/base/random.h"
+#include "jasminepath/decision/placement/placement_coordinator.h"
+
+namespace jasminepath::decision {
+
+// Shape of the site and how unkind the world between its parts is.
+struct world_options {
+  int nodes = 3;
+  int vms = 3;
+  int models = 3;
+  // Replicas that fit into a VM.
+  int replicas_per_vm = 2;
+  int64_t max_replicas = 1;
+  // Every n-th VM ignores fencing numbers; 0: none does.
+  int ignore_fencing_every = 2;
+  uint64_t seed = 1;
+  // Chances in 1000.
+  int message_lost = 0;
+  int message_doubled = 0;
+  int message_late = 0;
+  int order_lost = 0;
+  int table_answer_lost = 0;
+  int load_fails = 0;
+};
+
+// Nodes, table, engines and membership in virtual time: just enough around the
+// coordinator to break what may break. Checks the promises at every step of an
+// engine and records what was broken.
+class placement_world {
+ public:
+  explicit placement_world(const world_options& options);
+
+  void RunFor(duration length);
+  time_point now() const { return now_; }
+  // The first broken promise; empty if none.
+  const std::string& violation() const { return violation_; }
+
+  // Calls that wait at a node until a replica of the model is ready.
+  void AddDemand(int index, int model, int64_t waiting);
+  bool AllServed() const;
+  std::string Unserved() const;
+
+  // Faults.
+  void KillNode(int index);
+  void PauseNode(int index, duration length);
+  void DrainNode(int index);
+  void KillEngine(int vm);
+  void ReclaimVm(int vm);
+  void LeaveVm(int vm);
+  void TableOutage(duration length);
+  void SlowLoads(int vm, duration length);
+  void Heal();
+
+  int64_t load_orders() const { return load_orders_; }
+  int64_t table_writes() const { return table_writes_; }
+  int64_t table_reads() const { return table_reads_; }
+  int64_t ResidentCount(int model) const;
+  placement_status Status(int index) const;
+
+ private:
+  using coordinator = placement_coordinator<fixed_timeout>;
+
+  struct node {
+    instance_id id;
+    std::unique_ptr<coordinator> core;
+    bool alive = true;
+    time_point paused_until;
+    std::vector<std::function<void()>> deferred;
+    std::map<int, int64_t> waiting;
+    std::map<int, int64_t> arrivals;
+    time_point died_at;
+  };
+  struct engine_replica {
+    resident_state state = resident_state::loading;
+    std::string version;
+    time_point changes_at;
+    bool fails = false;
+  };
+  struct engine {
+    config::endpoint endpoint;
+    bool alive = true;
+    bool listed = true;
+    bool leaving = false;
+    int64_t incarnation = 1;
+    epoch fence;
+    epoch highest_seen;
+    std::map<model_id, engine_replica> replicas;
+    time_point slow_until;
+  };
+  struct event {
+    time_point at;
+    int64_t number = 0;
+    std::function<void()> run;
+    friend bool operator<(const event& a, const event& b) {
+      return a.at != b.at ? a.at > b.at : a.number > b.number;
+    }
+  };
+
+  void At(time_point when, std::function<void()> run);
+  bool Chance(int per_mille);
+  duration Between(int64_t low_ms, int64_t high_ms);
+  duration NetworkDelay();
+  void StartNode(int index);
+  // Runs the event at the node now, or when it resumes; never if it has ended.
+  void AtNode(int index, const instance_id& id, std::function<void(node&)> run);
+  void Tick(int index, const instance_id& id);
+  void Poll(int index, const instance_id& id, int vm);
+  void Membership();
+  void TellNode(int index);
+  void Carry(int index, std::vector<placement_action> actions);
+  void Do(int index, const commit_authority& action);
+  void Do(int index, const read_authority& action);
+  void Do(int index, const send_placement_message& action);
+  void Do(int index, const send_order& action);
+  void Do(int, const load_estimate&) {}
+  void Do(int, const replica_ready&) {}
+  order_end Execute(int vm, const endpoint_order& order);
+  void AdvanceEngine(int vm);
+  void CheckLoad(int vm, const model_id& model);
+  void Break(const std::string& text);
+  void ServeDemand();
+  endpoint_status Observe(int vm) const;
+  std::vector<model_demand> Demand(const node& source) const;
+  int FindNode(const instance_id& id) const;
+  bool Paused(const node& source) const { return source.paused_until > now_; }
+
+  world_options options_;
+  random_engine random_;
+  time_point now_;
+  int64_t last_event_ = 0;
+  std::priority_queue<event> events_;
+  std::shared_ptr<config::configuration> configuration_;
+  std::vector<node> nodes_;
+  std::vector<instance_id> ended_;
+  int64_t last_instance_ = 0;
+  std::vector<engine> engines_;
+  std::map<authority_key, authority_row> table_;
+  int64_t table_version_ = 0;
+  time_point table_down_until_;
+  bool healed_ = false;
+  std::string violation_;
+  int64_t load_orders_ = 0;
+  int64_t table_writes_ = 0;
+  int64_t table_reads_ = 0;
+};
+
+}  // namespace jasminepath::decision
+
+#endif  // JASMINEPATH_DECISION_TESTS_PLACEMENT_PLACEMENT_WORLD_H_
