--- /dev/null
+++ b/packages/tool/include/jasminepath/tool/exit_code.h
@@ -0,0 +1,17 @@
+#ifndef JASMINEPATH_TOOL_EXIT_CODE_H_
+#define JASMINEPATH_TOOL_EXIT_CODE_H_
+
+namespace jasminepath::tool {
+
+// Exit codes of the operator's tool.
+enum class exit_code {
+  done = 0,
+  // Refused by the system, or failed.
+  failed = 1,
+  // Wrong usage, or faulty files.
+  usage = 2,
+};
+
+}  // namespace jasminepath::tool
+
+#endif  // JASMINEPATH_TOOL_EXIT_CODE_H_
--- /dev/null
+++ b/packages/tool/src/status_command.cc
@@ -0,0 +1,91 @@
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "command_options.h"
+#include "commands.h"
+#include "fleet_access.h"
+#include "fleet_query.h"
+
+namespace jasminepath::tool {
+
+namespace {
+
+using config::json_value;
+
+std::string Shown(const json_value& status, std::string_view member) {
+  const json_value* value = status.Find(member);
+  if (value == nullptr)
+    return "?";
+  const std::string* text = value->AsString();
+  return text != nullptr ? *text : config::WriteJson(*value);
+}
+
+void WriteNodeLine(const node_answer& answer, std::ostream& out) {
+  out << "vm=" << answer.node.vm << " instance=" << answer.node.id
+      << " zone=" << answer.node.zone;
+  if (!answer.document) {
+    out << " state=unreachable reason=\"" << answer.problem << "\"\n";
+    return;
+  }
+  for (const config::json_member& member : *answer.document->AsObject()) {
+    if (member.name == "vm" || member.name == "instance" ||
+        member.name == "zone")
+      continue;
+    out << ' ' << member.name << '=' << Shown(*answer.document, member.name);
+  }
+  out << '\n';
+}
+
+json_value MergedStatus(const std::vector<node_answer>& answers) {
+  json_value nodes{json_value::array()};
+  for (const node_answer& answer : answers) {
+    json_value item{json_value::object()};
+    item.Append("vm", json_value(answer.node.vm.value()));
+    item.Append("instance", json_value(answer.node.id.value()));
+    item.Append("zone", json_value(answer.node.zone.value()));
+    item.Append("reachable", json_value(answer.document.has_value()));
+    if (answer.document)
+      item.Append("status", *answer.document);
+    else
+      item.Append("problem", json_value(answer.problem));
+    nodes.Append("", std::move(item));
+  }
+  json_value merged{json_value::object()};
+  merged.Append("nodes", std::move(nodes));
+  return merged;
+}
+
+}  // namespace
+
+exit_code RunStatus(const command_arguments& arguments,
+                    command_streams streams) {
+  option_spec spec;
+  spec.usage = "status";
+  spec.needs_platform = true;
+  spec.needs_token = true;
+  spec.takes_json = true;
+  const auto options = ParseOptions(spec, arguments);
+  if (!options)
+    return WriteUsage(options.error(), streams);
+  fleet_access fleet(options.value().platform, options.value());
+  const auto nodes = ReadNodes(fleet.platform());
+  if (!nodes) {
+    streams.err << "failed: the platform cannot be reached, so the nodes are "
+                   "not known\n";
+    return exit_code::failed;
+  }
+  const auto answers = AskNodes(fleet.admin(), nodes.value(), "/admin/status");
+  if (options.value().json) {
+    streams.out << config::WriteJson(MergedStatus(answers), 2) << '\n';
+  } else {
+    for (const node_answer& answer : answers)
+      WriteNodeLine(answer, streams.out);
+  }
+  const std::size_t reached = CountReached(answers);
+  streams.err << "reached " << reached << " of " << answers.size()
+              << " nodes\n";
+  return reached == answers.size() ? exit_code::done : exit_code::failed;
+}
+
+}  // namespace jasminepath::tool
