Add the engine stand-in; test exchanges and engine calls against it

Seen: the first run of the tests showed that the exchange let a header value with a line break add a header line; such a request now fails before anything is sent. It also showed that the faults reached the stand-ins' own paths.

--- a/apps/standin/main.cc
+++ b/apps/standin/main.cc
@@ -6,8 +6,13 @@
 #include <fstream>
 #include <iostream>
 #include <optional>
+#include <sstream>
 #include <string>
+#include <utility>
+#include <vector>
 
+#include "jasminepath/standin/engine_options.h"
+#include "jasminepath/standin/engine_standin.h"
 #include "jasminepath/standin/listen_options.h"
 #include "jasminepath/standin/plain_standin.h"
 #include "jasminepath/standin/platform_standin.h"
@@ -23,14 +28,32 @@
 cxxopts::Options MakeOptions() {
   cxxopts::Options options("standin", "Stands in for what jasminepath meets");
   auto add = options.add_options();
-  add("kind", "platform or plain", cxxopts::value<std::string>());
+  add("kind", "platform, engine or plain", cxxopts::value<std::string>());
   add("listen", "IP number and port; port 0 takes a free one",
       cxxopts::value<std::string>()->default_value("127.0.0.1:0"));
   add("port-file", "file that receives the port",
       cxxopts::value<std::string>()->default_value(""));
+  add("models", "engine: JSON file with the models' sizes and loading times",
+      cxxopts::value<std::string>()->default_value(""));
+  add("resident", "engine: models resident from the start",
+      cxxopts::value<std::vector<std::string>>()->default_value(""));
+  add("on-disk", "engine: checkpoints on disk from the start",
+      cxxopts::value<std::vector<std::string>>()->default_value(""));
+  add("memory-bytes", "engine: memory for weights and adapters",
+      cxxopts::value<int64_t>()->default_value("80000000000"));
+  add("first-token-ms", "engine: time to the first token",
+      cxxopts::value<int64_t>()->default_value("20"));
+  add("per-token-ms", "engine: time between tokens",
+      cxxopts::value<int64_t>()->default_value("5"));
+  add("max-running", "engine: generations at once",
+      cxxopts::value<int>()->default_value("512"));
+  add("store", "engine: IP number and port of the weight store",
+      cxxopts::value<std::string>()->default_value(""));
+  add("ignore-fencing", "engine: take orders of any epoch");
+  add("exit-on-crash", "engine: a crash ends the process");
   add("help", "show this text");
   options.parse_positional({"kind"});
-  options.positional_help("platform|plain");
+  options.positional_help("platform|engine|plain");
   return options;
 }
 
@@ -85,6 +108,52 @@
   return kExitDone;
 }
 
+std::string ReadFile(const std::string& path) {
+  std::ifstream in(path);
+  std::ostringstream text;
+  text << in.rdbuf();
+  return std::move(text).str();
+}
+
+// An empty list on the command line parses as one empty word.
+std::vector<std::string> Words(const cxxopts::ParseResult& parsed,
+                               const std::string& name) {
+  auto words = parsed[name].as<std::vector<std::string>>();
+  std::erase(words, std::string());
+  return words;
+}
+
+result<engine_options, std::string> MakeEngineOptions(
+    const cxxopts::ParseResult& parsed,
+    const listen_options& listen) {
+  engine_options options;
+  options.listen = listen;
+  options.resident = Words(parsed, "resident");
+  options.cached_on_disk = Words(parsed, "on-disk");
+  options.memory_bytes = parsed["memory-bytes"].as<int64_t>();
+  options.first_token = Milliseconds(parsed["first-token-ms"].as<int64_t>());
+  options.per_token = Milliseconds(parsed["per-token-ms"].as<int64_t>());
+  options.max_running = parsed["max-running"].as<int>();
+  options.honours_fencing = parsed.count("ignore-fencing") == 0;
+  options.exit_on_crash = parsed.count("exit-on-crash") > 0;
+  const std::string store = parsed["store"].as<std::string>();
+  if (!store.empty()) {
+    const auto address = ParseListen(store);
+    if (!address)
+      return std::string("--store needs an IP number and a port");
+    options.store_host = address->host;
+    options.store_port = address->port;
+  }
+  const std::string models = parsed["models"].as<std::string>();
+  if (!models.empty()) {
+    auto known = ParseEngineModels(ReadFile(models));
+    if (!known)
+      return models + ": " + known.error();
+    options.models = std::move(known.value());
+  }
+  return options;
+}
+
 int Main(int argc, char** argv) {
   cxxopts::Options options = MakeOptions();
   const auto parsed = options.parse(argc, argv);
@@ -102,6 +171,15 @@
   const sigset_t signals = BlockStopSignals();
   if (kind == "platform")
     return ServeUntilStopped(platform_standin(*listen), port_file, signals);
+  if (kind == "engine") {
+    const auto engine = MakeEngineOptions(parsed, *listen);
+    if (!engine) {
+      std::cerr << "standin: " << engine.error() << '\n';
+      return kExitUsage;
+    }
+    return ServeUntilStopped(engine_standin(engine.value()), port_file,
+                             signals);
+  }
   if (kind == "plain")
     return ServeUntilStopped(plain_standin(*listen), port_file, signals);
   std::cerr << "standin: unknown kind " << kind << '\n';
--- a/packages/endpoint/include/jasminepath/endpoint/exchange.h
+++ b/packages/endpoint/include/jasminepath/endpoint/exchange.h
@@ -37,7 +37,8 @@
   cancelled,       // The caller's side cancelled it, or the sink refused.
   deadline,        // The overall deadline passed.
   crossed,         // The answer belongs to another request.
-  malformed,       // The answer is not HTTP, or its end cannot be told.
+  malformed,       // The request or the answer is not HTTP, or the answer's
+                   // end cannot be told.
 };
 
 // The name in logs, for example "connect_failed".
--- a/packages/endpoint/src/exchange.cc
+++ b/packages/endpoint/src/exchange.cc
@@ -29,6 +29,28 @@
 constexpr int kFirstErrorStatus = 400;
 constexpr char kRequestIdHeader[] = "X-Request-Id";
 
+bool HasControlCharacter(std::string_view text) {
+  return std::any_of(text.begin(), text.end(), [](char c) {
+    return (static_cast<unsigned char>(c) < ' ' && c != '\t') || c == '\x7f';
+  });
+}
+
+bool IsOneWord(std::string_view text) {
+  return !text.empty() && text.find(' ') == std::string_view::npos &&
+         !HasControlCharacter(text);
+}
+
+// Whether no part of the request can pass for another line of its head.
+bool IsWellFormed(const outbound_request& request) {
+  return IsOneWord(request.method) && IsOneWord(request.path) &&
+         !HasControlCharacter(request.request_id) &&
+         std::all_of(request.headers.begin(), request.headers.end(),
+                     [](const header& field) {
+                       return IsOneWord(field.name) &&
+                              !HasControlCharacter(field.value);
+                     });
+}
+
 std::string FormatHead(const outbound_request& request) {
   Poco::Net::HTTPRequest head(request.method, request.path, "HTTP/1.1");
   for (const header& field : request.headers)
@@ -114,6 +136,8 @@
       : request_(request), connection_(cancel, deadlines) {}
 
   result<void, exchange_failure> Start() {
+    if (!IsWellFormed(request_))
+      return Malformed("the request's head would not follow HTTP");
     auto connected = connection_.Connect(request_.address);
     if (!connected)
       return connected.error();
--- a/packages/standin/src/http_host.cc
+++ b/packages/standin/src/http_host.cc
@@ -114,23 +114,34 @@
   response_.set(name, value);
 }
 
-void reply::Send(int status, const std::string& body) {
-  if (lose_answer_)
-    return Cut();
-  if (!stop_.SleepFor(faults_.lasting().late_answer))
-    return Cut();
-  if (faults_.IsSilenced(peer_))
-    return Hang();
+void reply::CrossIfSet() {
   if (response_.has(kRequestIdHeader) && faults_.TakeCrossedAnswer())
     response_.set(kRequestIdHeader, "crossed-" + response_[kRequestIdHeader]);
+}
+
+bool reply::MeetSendFaults() {
+  if (lose_answer_ || !stop_.SleepFor(faults_.lasting().late_answer)) {
+    Cut();
+    return false;
+  }
+  if (faults_.IsSilenced(peer_)) {
+    Hang();
+    return false;
+  }
+  CrossIfSet();
+  return true;
+}
+
+void reply::Send(int status, const std::string& body) {
+  if (!ignore_faults_ && !MeetSendFaults())
+    return;
   response_.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(status));
   response_.setContentType("application/json");
   response_.sendBuffer(body.data(), body.size());
 }
 
 void reply::BeginEvents() {
-  if (response_.has(kRequestIdHeader) && faults_.TakeCrossedAnswer())
-    response_.set(kRequestIdHeader, "crossed-" + response_[kRequestIdHeader]);
+  CrossIfSet();
   response_.setContentType("text/event-stream");
   response_.setChunkedTransferEncoding(true);
   events_ = &response_.send();
@@ -213,9 +224,12 @@
 }
 
 void http_host::Dispatch(const received_request& request, reply& answer) {
+  const bool own_path = request.path.starts_with(kOwnPathPrefix);
+  if (own_path || request.path == "/healthz")
+    answer.IgnoreFaults();
   if (request.path == "/healthz")
     return answer.Send(kOkStatus, R"({"status":"ok"})");
-  if (request.path.starts_with(kOwnPathPrefix))
+  if (own_path)
     return HandleOwnPath(request, answer);
   log_.Record(request);
   if (!MeetFault(request, answer))
--- a/packages/standin/src/http_host.h
+++ b/packages/standin/src/http_host.h
@@ -63,12 +63,19 @@
 
   // Makes Send cut the connection instead of answering.
   void LoseAnswer() { lose_answer_ = true; }
+  // Frees the answer from all faults.
+  void IgnoreFaults() { ignore_faults_ = true; }
 
   bool ClientGone();
   const std::string& peer() const { return peer_; }
   stop_signal& stop() { return stop_; }
 
  private:
+  // Renames the request that the answer names, if that fault is set.
+  void CrossIfSet();
+  // Waits as the faults say. False if the answer must not be sent any more.
+  bool MeetSendFaults();
+
   Poco::Net::HTTPServerRequestImpl& request_;
   Poco::Net::HTTPServerResponse& response_;
   fault_board& faults_;
@@ -76,6 +83,7 @@
   std::string peer_;
   std::ostream* events_ = nullptr;
   bool lose_answer_ = false;
+  bool ignore_faults_ = false;
 };
 
 // Serves one stand-in over HTTP: records what comes in, answers /healthz,
