--- a/packages/mesh/include/jasminepath/mesh/envelope.h
+++ b/packages/mesh/include/jasminepath/mesh/envelope.h
@@ -5,12 +5,16 @@
 #include <variant>
 
 #include "jasminepath/base/ids.h"
+#include "jasminepath/decision/admission/messages.h"
 #include "jasminepath/decision/fleet/messages.h"
+#include "jasminepath/decision/placement/messages.h"
 
 namespace jasminepath::mesh {
 
-// What one node can say to another.
-using node_message = std::variant<decision::fleet_message>;
+// What one node can say to another. New kinds are added at the end.
+using node_message = std::variant<decision::fleet_message,
+                                  decision::admission_message,
+                                  decision::placement_message>;
 
 // A message between two instances.
 struct envelope {
--- a/packages/mesh/include/jasminepath/mesh/link_set.h
+++ b/packages/mesh/include/jasminepath/mesh/link_set.h
@@ -80,7 +80,7 @@
 
  private:
   class implementation;
-  explicit link_set(std::unique_ptr<implementation> implementation);
+  explicit link_set(std::unique_ptr<implementation> made);
 
   std::unique_ptr<implementation> implementation_;
 };
--- /dev/null
+++ b/packages/mesh/tests/link_set_test.cc
@@ -0,0 +1,141 @@
+#include "jasminepath/mesh/link_set.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+
+namespace jasminepath::mesh {
+namespace {
+
+constexpr duration kWait = Seconds(20);
+constexpr std::size_t kRing = 4096;
+
+// One instance on loopback.
+struct test_instance {
+  explicit test_instance(const std::string& name)
+      : id(name),
+        ring(kRing),
+        links(
+            std::move(link_set::MakeLinkSet(id, "127.0.0.1:0", ring).value())) {
+  }
+
+  link_peer peer() const {
+    return {.instance = id, .address = links.address()};
+  }
+
+  instance_id id;
+  bounded_ring<envelope> ring;
+  link_set links;
+};
+
+node_message MakeHeartbeat(int64_t sequence) {
+  decision::heartbeat_message heartbeat;
+  heartbeat.sequence = sequence;
+  return decision::fleet_message(heartbeat);
+}
+
+int64_t SequenceOf(const envelope& received) {
+  const auto& message = std::get<decision::fleet_message>(received.message);
+  return std::get<decision::heartbeat_message>(message).sequence;
+}
+
+BOOST_AUTO_TEST_CASE(MessagesArriveInOrderWithTheirSender) {
+  test_instance a("a");
+  test_instance b("b");
+  a.links.SetLinks({b.peer()});
+  for (int64_t i = 1; i <= 20; ++i)
+    BOOST_TEST(a.links.Send(b.peer(), MakeHeartbeat(i)));
+  for (int64_t i = 1; i <= 20; ++i) {
+    const auto received = b.ring.PopWithin(kWait);
+    BOOST_REQUIRE(received.has_value());
+    BOOST_TEST(SequenceOf(*received) == i);
+    BOOST_TEST(received->sequence == i);
+    BOOST_TEST(received->from == a.id);
+  }
+  BOOST_TEST(b.links.counters().received == 20);
+}
+
+BOOST_AUTO_TEST_CASE(MessageForAnotherInstanceIsDiscarded) {
+  test_instance a("a");
+  test_instance b("b");
+  const link_peer predecessor{.instance = instance_id("old"),
+                              .address = b.links.address()};
+  a.links.Send(predecessor, MakeHeartbeat(1));
+  a.links.Send(b.peer(), MakeHeartbeat(2));
+  const auto received = b.ring.PopWithin(kWait);
+  BOOST_REQUIRE(received.has_value());
+  BOOST_TEST(SequenceOf(*received) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(UnnamedReceiverTakesTheMessage) {
+  test_instance a("a");
+  test_instance b("b");
+  a.links.Send({.instance = instance_id(), .address = b.links.address()},
+               MakeHeartbeat(5));
+  const auto received = b.ring.PopWithin(kWait);
+  BOOST_REQUIRE(received.has_value());
+  BOOST_TEST(SequenceOf(*received) == 5);
+}
+
+BOOST_AUTO_TEST_CASE(UnreachablePeerFillsItsOwnQueueOnly) {
+  test_instance a("a");
+  test_instance b("b");
+  const link_peer nobody{.instance = instance_id("gone"),
+                         .address = "127.0.0.1:1"};
+  int64_t dropped = 0;
+  for (int64_t i = 0; i < 1000; ++i)
+    dropped += a.links.Send(nobody, MakeHeartbeat(i)) ? 0 : 1;
+  BOOST_TEST(dropped > 0);
+  BOOST_TEST(a.links.counters().send_dropped == dropped);
+  BOOST_TEST(a.links.Send(b.peer(), MakeHeartbeat(7)));
+  const auto received = b.ring.PopWithin(kWait);
+  BOOST_REQUIRE(received.has_value());
+  BOOST_TEST(SequenceOf(*received) == 7);
+}
+
+BOOST_AUTO_TEST_CASE(FullRingIsCountedAndBlocksNothing) {
+  instance_id id("small");
+  bounded_ring<envelope> ring(1);
+  auto made = link_set::MakeLinkSet(id, "127.0.0.1:0", ring);
+  link_set& small = made.value();
+  test_instance a("a");
+  const link_peer peer{.instance = id, .address = small.address()};
+  const time_point deadline = boot_clock::now() + kWait;
+  int64_t sequence = 0;
+  while (small.counters().ring_dropped == 0 && boot_clock::now() < deadline)
+    a.links.Send(peer, MakeHeartbeat(++sequence));
+  BOOST_TEST(small.counters().ring_dropped > 0);
+}
+
+BOOST_AUTO_TEST_CASE(RedialReachesAPeerThatCameBack) {
+  test_instance a("a");
+  auto b = std::make_optional<test_instance>("b");
+  const link_peer first = b->peer();
+  a.links.SetLinks({first});
+  a.links.Send(first, MakeHeartbeat(1));
+  BOOST_REQUIRE(b->ring.PopWithin(kWait).has_value());
+  b.reset();
+  bounded_ring<envelope> ring(kRing);
+  auto again = link_set::MakeLinkSet(first.instance, first.address, ring);
+  BOOST_REQUIRE(again.has_value());
+  a.links.Redial(first);
+  BOOST_TEST(a.links.counters().redials == 1);
+  std::optional<envelope> received;
+  const time_point deadline = boot_clock::now() + kWait;
+  while (!received && boot_clock::now() < deadline) {
+    a.links.Send(first, MakeHeartbeat(2));
+    received = ring.PopWithin(Milliseconds(50));
+  }
+  BOOST_REQUIRE(received.has_value());
+  BOOST_TEST(SequenceOf(*received) == 2);
+}
+
+BOOST_AUTO_TEST_CASE(AddressThatCannotBeListenedOnIsRefused) {
+  bounded_ring<envelope> ring(8);
+  const auto made =
+      link_set::MakeLinkSet(instance_id("a"), "203.0.113.7:1", ring);
+  BOOST_REQUIRE(!made.has_value());
+  BOOST_TEST((made.error() == mesh_error::bad_address));
+}
+
+}  // namespace
+}  // namespace jasminepath::mesh
