--- a/packages/endpoint/include/jasminepath/endpoint/http_types.h
+++ b/packages/endpoint/include/jasminepath/endpoint/http_types.h
@@ -37,6 +37,7 @@
 enum class echo_rule {
   required,    // An answer without it counts as crossed: engines.
   if_present,  // Only a different one counts as crossed: plain services.
+  ignored,     // Not looked at: load tools, which see a node's own id.
 };
 
 // A request to an endpoint. Host, Content-Length, Connection and X-Request-Id
--- a/packages/endpoint/src/exchange.cc
+++ b/packages/endpoint/src/exchange.cc
@@ -220,6 +220,8 @@
   }
 
   result<void, exchange_failure> CheckEcho() const {
+    if (request_.echo == echo_rule::ignored)
+      return success();
     const std::string* echo = FindHeader(head_.headers, kRequestIdHeader);
     const bool missing_allowed = request_.echo == echo_rule::if_present;
     if (echo == nullptr ? missing_allowed : *echo == request_.request_id)
