--- a/packages/decision/include/jasminepath/decision/placement/placement_core.h
+++ b/packages/decision/include/jasminepath/decision/placement/placement_core.h
@@ -36,6 +36,9 @@
   duration demand_expiry = Seconds(5);
   // A holder that is not among the peers for this long counts as suspected.
   duration holder_absence = Seconds(10);
+  // A configured VM that the platform's list lacks for this long has ended, or
+  // has not started.
+  duration vm_list_lag = Seconds(30);
   // A load that takes this many times its expected time counts as slow.
   double slow_load_factor = 3.0;
   // A place at the weight store that was not released is free after this.
--- a/packages/decision/src/placement/placement_state.cc
+++ b/packages/decision/src/placement/placement_state.cc
@@ -130,7 +130,7 @@
 
 void placement_core::state::OnVmList(const std::vector<vm_id>& live,
                                      const std::vector<vm_id>& leaving) {
-  site_.OnVmList(live, leaving);
+  site_.OnVmList(live, leaving, limits_.vm_list_lag, now_);
   for (auto& [vm, entry] : vms_) {
     if (site_.Gone(vm) && entry.owner)
       DropOwner(entry);
--- a/packages/decision/src/placement/site_view.cc
+++ b/packages/decision/src/placement/site_view.cc
@@ -35,15 +35,26 @@
 }
 
 void site_view::OnVmList(const std::vector<vm_id>& live,
-                         const std::vector<vm_id>& leaving) {
+                         const std::vector<vm_id>& leaving,
+                         duration list_lag,
+                         time_point now) {
   std::set<vm_id> listed(live.begin(), live.end());
   listed.insert(leaving.begin(), leaving.end());
   for (const vm_id& vm : listed_) {
     if (!listed.contains(vm))
       gone_.insert(vm);
   }
-  for (const vm_id& vm : listed)
+  for (const auto& [vm, view] : vms_) {
+    if (listed.contains(vm))
+      continue;
+    const time_point since = missing_since_.try_emplace(vm, now).first->second;
+    if (now - since >= list_lag)
+      gone_.insert(vm);
+  }
+  for (const vm_id& vm : listed) {
     gone_.erase(vm);
+    missing_since_.erase(vm);
+  }
   leaving_ = std::set<vm_id>(leaving.begin(), leaving.end());
   listed_ = std::move(listed);
   for (auto& [vm, view] : vms_) {
--- a/packages/decision/src/placement/site_view.h
+++ b/packages/decision/src/placement/site_view.h
@@ -27,7 +27,7 @@
   time_point observed_at;
   bool reachable = false;
   bool leaving = false;
-  // It has left the platform's list after having been on it.
+  // It has ended, by the platform's list.
   bool gone = false;
 };
 
@@ -44,8 +44,13 @@
 class site_view {
  public:
   void OnConfiguration(const config::configuration& source);
+  // A VM has ended when it leaves the list, or when a configured one has been
+  // missing from it since `list_lag` ago: it ended before this node began, or
+  // it has not started yet.
   void OnVmList(const std::vector<vm_id>& live,
-                const std::vector<vm_id>& leaving);
+                const std::vector<vm_id>& leaving,
+                duration list_lag,
+                time_point now);
   // Returns the VM of the engine, or null if it is not one.
   const vm_view* OnStatus(const endpoint_status& status, time_point now);
   const vm_view* OnUnreachable(const endpoint_id& endpoint);
@@ -53,7 +58,7 @@
   const vm_view* FindVm(const vm_id& vm) const;
   const vm_view* FindEndpoint(const endpoint_id& endpoint) const;
   const model_view* FindModel(const model_id& model) const;
-  // Whether the VM has left the platform's list after having been on it.
+  // Whether the VM has ended, by the platform's list.
   bool Gone(const vm_id& vm) const { return gone_.contains(vm); }
   const std::map<vm_id, vm_view>& vms() const { return vms_; }
   const config::site_weights& weights() const { return weights_; }
@@ -74,6 +79,7 @@
   std::set<vm_id> listed_;
   std::set<vm_id> leaving_;
   std::set<vm_id> gone_;
+  std::map<vm_id, time_point> missing_since_;
   config::site_weights weights_;
   config::weight_store store_;
 };
