--- a/packages/decision/include/jasminepath/decision/fleet/fleet_coordinator.h
+++ b/packages/decision/include/jasminepath/decision/fleet/fleet_coordinator.h
@@ -110,6 +110,10 @@
   revision FactsCompleteThrough() const;
   // The registered instances that have not ended, in the order of their ids.
   std::vector<instance_view> Instances() const;
+  // Whether an instance that a table row of version `named_at` names as the
+  // holder of something has ended. True also for instances that ended before
+  // this one started, for which there is no `instance_ended`.
+  bool HasEnded(const instance_id& instance, revision named_at) const;
   // This instance's part of the team's rate now.
   int64_t SharePpm(const team_id& team) const;
 
--- a/packages/decision/include/jasminepath/decision/fleet/membership.h
+++ b/packages/decision/include/jasminepath/decision/fleet/membership.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "jasminepath/base/ids.h"
+#include "jasminepath/base/units.h"
 #include "jasminepath/decision/fleet/instance_record.h"
 
 namespace jasminepath::decision {
@@ -31,6 +32,12 @@
   // The record of an instance that is registered and has not ended, or null.
   const instance_record* Find(const instance_id& id) const;
   bool HasEnded(const instance_id& id) const;
+  // Whether the instance, which a row committed at `named_at` names as
+  // registered, has ended: its end was seen, or it is missing from the rows,
+  // which reflect a later commit.
+  bool HasEnded(const instance_id& id, revision named_at) const;
+  // The rows given to OnRow reflect every commit up to this version.
+  void SetReflectsThrough(revision version) { reflects_through_ = version; }
   bool IsSuspected(const instance_id& id) const;
   bool IsLeaving(const instance_id& id) const;
 
@@ -53,6 +60,7 @@
   std::set<instance_id> ended_;
   std::set<instance_id> suspected_;
   std::set<instance_id> leaving_;
+  revision reflects_through_;
 };
 
 // Whether `later` is the successor of `earlier` on one VM.
--- a/packages/decision/include/jasminepath/decision/fleet/messages.h
+++ b/packages/decision/include/jasminepath/decision/fleet/messages.h
@@ -25,8 +25,9 @@
 // Summary of a replicated set of rows. Equal hashes mean the same rows.
 struct store_digest {
   // Every commit up to this version is reflected in the set.
-  revision complete_through;
-  // Highest version of any row held, deletions included.
+  revision reflects_through;
+  // Highest version of any change that the set reflects; changes between
+  // `reflects_through` and this may be missing.
   revision highest;
   // The holder can list changes only after this version; asked for older ones
   // it sends a whole snapshot.
@@ -70,7 +71,7 @@
 // Asks for the rows that the sender lacks.
 struct row_request {
   row_topic topic = row_topic::facts;
-  // The sender's own `complete_through`.
+  // The sender has seen every change up to here.
   revision since;
   // Set while the sender takes a whole snapshot: rows up to this version have
   // come already.
@@ -81,8 +82,8 @@
 
 // Part of the answer to a `row_request`, in the order of versions. A change
 // page holds every row written after `since` up to `through`, deletions
-// included; a snapshot page holds the rows that are there, after the cursor.
-// Rows beyond `through` may be added.
+// included; a snapshot page holds the rows after the cursor, with the
+// deletions that are remembered. Rows beyond `through` may be added.
 template <typename Value>
 struct row_page {
   revision since;
--- a/packages/decision/include/jasminepath/decision/fleet/poll_schedule.h
+++ b/packages/decision/include/jasminepath/decision/fleet/poll_schedule.h
@@ -45,6 +45,8 @@
   time_point next_allowed_{};
   duration backoff_ = duration::zero();
   bool demanded_ = true;
+  // The outstanding poll was demanded; if it fails, the demand stands.
+  bool serves_demand_ = false;
 };
 
 }  // namespace jasminepath::decision
--- a/packages/decision/include/jasminepath/decision/fleet/row_exchange.h
+++ b/packages/decision/include/jasminepath/decision/fleet/row_exchange.h
@@ -37,13 +37,15 @@
   // Whether this copy lacks nothing that a copy with the digest `theirs` holds.
   bool Covers(const store_digest& theirs) const {
     const store_digest ours = store_.digest();
-    return ours.hash == theirs.hash || ours.complete_through >= theirs.highest;
+    return ours.hash == theirs.hash || ours.reflects_through >= theirs.highest;
   }
 
   // A peer's digest has come; returns what to ask it for, if anything.
   std::optional<row_request> OnDigest(const instance_id& peer,
                                       const store_digest& theirs,
                                       time_point now) {
+    if (store_.digest().hash == theirs.hash)
+      store_.OnEqualCopy(theirs);
     if (Covers(theirs)) {
       snapshot_wanted_since_.reset();
       return std::nullopt;
--- a/packages/decision/include/jasminepath/decision/fleet/share_split.h
+++ b/packages/decision/include/jasminepath/decision/fleet/share_split.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "jasminepath/base/ids.h"
+#include "jasminepath/base/units.h"
 #include "jasminepath/decision/fleet/membership.h"
 #include "jasminepath/decision/fleet/share_record.h"
 
@@ -16,11 +17,9 @@
 // The whole, in equal parts.
 share_record SplitEqually(const std::vector<instance_id>& instances);
 
-// Whether some part belongs to an instance that has ended.
-bool HasEndedParts(const share_record& record, const membership& members);
-
-// Without the parts of ended instances.
+// The row committed at `version` without the parts of ended instances.
 share_record WithoutEnded(const share_record& record,
+                          revision version,
                           const membership& members);
 
 // Raises the smallest parts of `instances` with what is missing to the whole,
--- a/packages/decision/include/jasminepath/decision/fleet/versioned_store.h
+++ b/packages/decision/include/jasminepath/decision/fleet/versioned_store.h
@@ -33,9 +33,11 @@
 };
 
 // A node's copy of a replicated set of rows. The version held for a key only
-// rises. `complete_through` is a commit up to which every change is reflected:
+// rises. `reflects_through` is a commit up to which every change is reflected:
 // a row at or below it that is not held has been superseded or deleted.
-// Deleted rows are remembered until `kMaxTombstones` newer deletions are known.
+// `complete_through`, which may be lower, is a commit up to which every change
+// was also seen, so that deletions can be listed to others. Deleted rows are
+// remembered until `kMaxTombstones` newer deletions are known.
 template <typename Value>
 class versioned_store {
  public:
@@ -60,7 +62,7 @@
                                 revision through) {
     std::vector<row> changed = ApplyRows(rows);
     if (since <= complete_through_)
-      complete_through_ = std::max(complete_through_, through);
+      SetCompleteThrough(std::max(complete_through_, through));
     return changed;
   }
 
@@ -71,7 +73,7 @@
     if (through <= complete_through_)
       return {};
     std::vector<row> removed = RemoveMissing(present, through);
-    complete_through_ = through;
+    SetCompleteThrough(through);
     changes_after_ = through;
     return removed;
   }
@@ -120,28 +122,40 @@
   }
 
   store_digest digest() const {
-    return {.complete_through = complete_through_,
-            .highest = by_version_.empty() ? complete_through_
-                                           : by_version_.rbegin()->version,
+    return {.reflects_through = reflects_through_,
+            .highest = highest(),
             .changes_after = changes_after_,
             .hash = hash_};
   }
 
+  // Another copy holds the same rows: what it reflects, this one does too.
+  void OnEqualCopy(const store_digest& theirs) {
+    reflects_through_ = std::max(reflects_through_, theirs.reflects_through);
+  }
+
   revision complete_through() const { return complete_through_; }
+  revision reflects_through() const { return reflects_through_; }
 
  private:
+  revision highest() const {
+    if (by_version_.empty())
+      return reflects_through_;
+    return std::max(reflects_through_, by_version_.rbegin()->version);
+  }
+
+  void SetCompleteThrough(revision through) {
+    complete_through_ = through;
+    reflects_through_ = std::max(reflects_through_, through);
+  }
+
   static uint64_t HashOf(const row& value) {
     return StableHash(value.key + '@' + std::to_string(value.version.count()));
   }
 
   bool ApplyRow(const row& candidate) {
     const auto held = rows_.find(candidate.key);
-    if (held == rows_.end()) {
-      if (candidate.version <= complete_through_)
-        return false;
-      Insert(candidate);
-      return true;
-    }
+    if (held == rows_.end())
+      return AddRow(candidate);
     if (candidate.version <= held->second.version)
       return false;
     Erase(held);
@@ -149,6 +163,16 @@
     return true;
   }
 
+  // Takes a row whose key is not held. A deletion that is reflected already is
+  // still remembered while others may have to be told of it.
+  bool AddRow(const row& added) {
+    const bool is_news = added.version > reflects_through_;
+    const bool is_listed = added.deleted && added.version > complete_through_;
+    if (is_news || is_listed)
+      Insert(added);
+    return is_news;
+  }
+
   void Insert(const row& added) {
     if (!added.deleted)
       hash_ ^= HashOf(added);
@@ -208,8 +232,6 @@
     for (auto place = by_version_.lower_bound(first);
          place != by_version_.end(); ++place) {
       const row& held = rows_.find(place->key)->second;
-      if (page.snapshot && held.deleted)
-        continue;
       const auto added =
           static_cast<int64_t>(held.key.size()) + ValueBytes(held.value);
       const bool full = size > 0 && size + added > page_bytes;
@@ -233,6 +255,7 @@
   std::set<row_version> by_version_;
   std::set<row_version> tombstones_;
   revision complete_through_;
+  revision reflects_through_;
   revision changes_after_;
   uint64_t hash_ = 0;
 };
--- a/packages/decision/src/fleet/fleet_coordinator.cc
+++ b/packages/decision/src/fleet/fleet_coordinator.cc
@@ -673,6 +673,7 @@
 }
 
 fleet_actions fleet_coordinator::implementation::Finish(time_point now) {
+  members_.SetReflectsThrough(instances_.store().reflects_through());
   JudgeFencing();
   JudgeReadiness(now);
   for (auto& [team, keeper] : keepers_)
@@ -849,7 +850,12 @@
 }
 
 revision fleet_coordinator::FactsCompleteThrough() const {
-  return implementation_->facts().store().complete_through();
+  return implementation_->facts().store().reflects_through();
+}
+
+bool fleet_coordinator::HasEnded(const instance_id& instance,
+                                 revision named_at) const {
+  return implementation_->members().HasEnded(instance, named_at);
 }
 
 std::vector<instance_view> fleet_coordinator::Instances() const {
--- a/packages/decision/src/fleet/membership.cc
+++ b/packages/decision/src/fleet/membership.cc
@@ -72,6 +72,12 @@
   return ended_.contains(id);
 }
 
+bool membership::HasEnded(const instance_id& id, revision named_at) const {
+  if (HasEnded(id))
+    return true;
+  return !registered_.contains(id) && reflects_through_ >= named_at;
+}
+
 bool membership::IsSuspected(const instance_id& id) const {
   return suspected_.contains(id);
 }
--- a/packages/decision/src/fleet/poll_schedule.cc
+++ b/packages/decision/src/fleet/poll_schedule.cc
@@ -28,7 +28,7 @@
   if (!IsDue(rank, confirmed_at, now))
     return false;
   sent_at_ = now;
-  demanded_ = false;
+  serves_demand_ = std::exchange(demanded_, false);
   return true;
 }
 
@@ -47,6 +47,7 @@
 
 std::optional<time_point> poll_schedule::OnAnswered() {
   backoff_ = duration::zero();
+  serves_demand_ = false;
   if (expired_)
     return std::exchange(expired_, std::nullopt);
   if (sent_at_)
@@ -56,6 +57,7 @@
 
 void poll_schedule::OnFailed(time_point now) {
   sent_at_.reset();
+  demanded_ = demanded_ || std::exchange(serves_demand_, false);
   backoff_ = backoff_ == duration::zero() ? kFirstBackoff : backoff_ * 2;
   backoff_ = std::min(backoff_, limits_.longest_poll_backoff);
   std::uniform_int_distribution<duration::rep> jitter(backoff_.count() / 2,
--- a/packages/decision/src/fleet/share_keeper.cc
+++ b/packages/decision/src/fleet/share_keeper.cc
@@ -286,7 +286,7 @@
 bool share_keeper::HandOutEnded(const membership& members,
                                 time_point now,
                                 fleet_actions& actions) {
-  share_record remaining = WithoutEnded(*record_, members);
+  share_record remaining = WithoutEnded(*record_, record_version_, members);
   const int64_t free = kWholeSharePpm - TotalPpm(remaining);
   const int64_t least = LeastTransfer(members.Staying().size());
   if (free < least || record_version_ < known_version_)
--- a/packages/decision/src/fleet/share_split.cc
+++ b/packages/decision/src/fleet/share_split.cc
@@ -18,17 +18,12 @@
   return record;
 }
 
-bool HasEndedParts(const share_record& record, const membership& members) {
-  return std::any_of(
-      record.parts.begin(), record.parts.end(),
-      [&](const share_part& part) { return members.HasEnded(part.instance); });
-}
-
 share_record WithoutEnded(const share_record& record,
+                          revision version,
                           const membership& members) {
   share_record remaining;
   for (const share_part& part : record.parts) {
-    if (!members.HasEnded(part.instance))
+    if (!members.HasEnded(part.instance, version))
       remaining.parts.push_back(part);
   }
   return remaining;
--- /dev/null
+++ b/packages/decision/tests/fleet/fleet_history_test.cc
@@ -0,0 +1,146 @@
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+#include <cstdint>
+#include <vector>
+
+#include "fleet/check_histories.h"
+#include "fleet/fleet_world.h"
+
+namespace jasminepath::decision {
+namespace {
+
+constexpr int kHistories = 1500;
+constexpr int kVms = 4;
+constexpr int kTeams = 2;
+constexpr int kFactKeys = 3;
+constexpr duration kSpreadTime = Seconds(4);
+// The longest lag of the VM list, its confirmation, and the longest waits
+// before a retry at a platform that has come back.
+constexpr duration kRecoveryTime = Seconds(90);
+
+// One step of a history: what happens, to which VM, and for how long the fleet
+// then runs.
+struct history_step {
+  uint8_t kind = 0;
+  uint8_t vm = 0;
+  uint16_t run_ms = 0;
+
+  friend bool operator==(const history_step&, const history_step&) = default;
+};
+
+std::ostream& operator<<(std::ostream& out, const history_step& step) {
+  return out << "{kind " << int{step.kind} << ", vm " << int{step.vm}
+             << ", run_ms " << step.run_ms << '}';
+}
+
+void TakeStep(fleet_world& world, const history_step& step) {
+  const int vm = step.vm;
+  switch (step.kind) {
+    case 0:
+      world.Start(vm);
+      break;
+    case 1:
+      world.Kill(vm);
+      break;
+    case 2:
+      world.Pause(vm);
+      break;
+    case 3:
+      world.Continue(vm);
+      break;
+    case 4:
+      world.RemoveVm(vm);
+      break;
+    case 5:
+      world.Drain(vm);
+      break;
+    case 6:
+      world.Isolate(vm, true, true);
+      break;
+    case 7:
+      world.Isolate(vm, true, false);
+      break;
+    case 8:
+      world.Isolate(vm, false, true);
+      break;
+    case 9:
+      world.Reconnect(vm);
+      break;
+    case 10:
+      world.faults().platform_down = true;
+      break;
+    case 11:
+      world.faults().platform_down = false;
+      break;
+    case 12:
+      world.faults().answer_loss = 0.3;
+      break;
+    case 13:
+      world.faults().message_loss = 0.3;
+      world.faults().message_repeat = 0.2;
+      world.faults().message_delay = 0.2;
+      break;
+    case 14:
+      world.CommitFact(vm % kFactKeys, false, vm % 2 == 0);
+      break;
+    default:
+      world.CommitFact(vm % kFactKeys, true, vm % 2 == 0);
+      break;
+  }
+  world.Run(Milliseconds(step.run_ms));
+}
+
+}  // namespace
+}  // namespace jasminepath::decision
+
+template <>
+struct rc::Arbitrary<jasminepath::decision::history_step> {
+  static Gen<jasminepath::decision::history_step> arbitrary() {
+    using jasminepath::decision::history_step;
+    return gen::build<history_step>(
+        gen::set(&history_step::kind, gen::inRange<uint8_t>(0, 16)),
+        gen::set(&history_step::vm, gen::inRange<uint8_t>(0, 12)),
+        gen::set(&history_step::run_ms, gen::inRange<uint16_t>(0, 5000)));
+  }
+};
+
+namespace jasminepath::decision {
+namespace {
+
+// Prints what went wrong, so that the shrunk history tells it.
+bool Holds(const fleet_world& world, bool condition, const char* promise) {
+  for (const std::string& violation : world.violations())
+    RC_LOG(violation);
+  if (!condition)
+    RC_LOG(std::string("broken: ") + promise);
+  return condition && world.violations().empty();
+}
+
+BOOST_AUTO_TEST_CASE(FleetKeepsItsPromisesThroughRandomFaults) {
+  BOOST_TEST(CheckHistories(
+      "facts never fall, shares never exceed the whole, no running instance is "
+      "declared ended, and the fleet recovers",
+      kHistories, [](uint64_t seed, const std::vector<history_step>& history) {
+        fleet_world world(seed, kVms, kTeams);
+        for (int vm = 0; vm < kVms - 1; ++vm)
+          world.Start(vm);
+        world.Run(Seconds(5));
+        for (const history_step& step : history)
+          TakeStep(world, step);
+        RC_ASSERT(Holds(world, true, ""));
+        world.Heal();
+        world.Start(0);
+        world.Run(kRecoveryTime);
+        RC_ASSERT(Holds(world, world.AllReady(), "all are ready"));
+        RC_ASSERT(Holds(world, world.AllFactsInForce(), "all facts in force"));
+        RC_ASSERT(Holds(world, world.SharesAreEven(0.5), "even shares"));
+        world.CommitFact(0, false, false);
+        world.Run(kSpreadTime);
+        RC_ASSERT(
+            Holds(world, world.AllFactsInForce(), "a fact spreads in time"));
+      }));
+}
+
+}  // namespace
+}  // namespace jasminepath::decision
--- a/packages/decision/tests/fleet/fleet_world.cc
+++ b/packages/decision/tests/fleet/fleet_world.cc
@@ -8,7 +8,10 @@
 namespace jasminepath::decision {
 namespace {
 
+// The list shows everything that happens to a VM, but this much later, and each
+// state for the least time.
 constexpr duration kListLag = Seconds(8);
+constexpr duration kLeastListed = Seconds(10);
 
 team_id TeamAt(int number) {
   return team_id("team-" + std::to_string(number));
@@ -22,8 +25,7 @@
   for (int i = 0; i < vm_count; ++i) {
     machines_[static_cast<std::size_t>(i)].number = i;
     const int number = i;
-    After(Delay(0, ToMilliseconds(kListLag)),
-          [this, number] { At(number).listed = true; });
+    After(Delay(0, ToMilliseconds(kListLag)), [this, number] { List(number); });
   }
   auto made = std::make_shared<config::configuration>();
   for (int i = 0; i < team_count; ++i)
@@ -126,6 +128,11 @@
   });
 }
 
+void fleet_world::List(int vm) {
+  At(vm).listed = true;
+  At(vm).listed_at = now_;
+}
+
 void fleet_world::Kill(int vm) {
   machine& place = At(vm);
   if (!place.running)
@@ -139,9 +146,16 @@
 void fleet_world::RemoveVm(int vm) {
   machine& place = At(vm);
   Kill(vm);
+  const auto row = instances_.find(place.record.id.value());
+  const bool registered = row != instances_.end() && !row->second.deleted;
+  if (registered && !row->second.value.vm_listed)
+    return;
   place.exists = false;
   const int number = place.number;
-  After(Delay(0, ToMilliseconds(kListLag)), [this, number] {
+  const time_point listed_at = place.listed ? place.listed_at : now_ + kListLag;
+  const duration shown =
+      std::max(listed_at + kLeastListed - now_, duration::zero());
+  After(shown + Delay(0, ToMilliseconds(kListLag)), [this, number] {
     if (!At(number).exists)
       At(number).listed = false;
   });
@@ -167,6 +181,8 @@
   if (!place.running)
     return;
   Deliver(place.number, place.incarnation, [this, vm = place.number] {
+    // From here on it has given up everything by its own word.
+    alive_processes_.erase(At(vm).record.id.value());
     return At(vm).coordinator->OnDrain(now_);
   });
 }
@@ -185,6 +201,8 @@
   for (machine& place : machines_) {
     Reconnect(place.number);
     Continue(place.number);
+    if (place.exists)
+      Start(place.number);
   }
 }
 
--- a/packages/decision/tests/fleet/fleet_world.h
+++ b/packages/decision/tests/fleet/fleet_world.h
@@ -43,6 +43,8 @@
   void Continue(int vm);
   void Drain(int vm);
   // The VM ends with its process and leaves the list, which shows it later.
+  // Only the process ends if the fleet has not yet seen the VM on the list,
+  // since its absence would then say nothing.
   void RemoveVm(int vm);
   void Isolate(int vm, bool from_peers, bool from_platform);
   void Reconnect(int vm);
@@ -51,7 +53,8 @@
   void Run(duration span);
 
   world_faults& faults() { return faults_; }
-  // Ends all faults and continues paused processes.
+  // Ends all faults, continues paused processes and restarts dead ones on VMs
+  // that are there.
   void Heal();
 
   // Every running instance holds exactly the facts of the table.
@@ -74,6 +77,7 @@
     int number = 0;
     bool exists = true;
     bool listed = false;
+    time_point listed_at{};
     int incarnation = 0;
     bool running = false;
     bool paused = false;
@@ -106,6 +110,7 @@
   };
 
   machine& At(int vm);
+  void List(int vm);
   bool Chance(double probability);
   duration Delay(int64_t least_ms, int64_t most_ms);
   void After(duration delay, std::function<void()> run);
--- a/packages/mesh/tests/message_codec_test.cc
+++ b/packages/mesh/tests/message_codec_test.cc
@@ -11,7 +11,7 @@
   decision::heartbeat_message heartbeat;
   heartbeat.sequence = 17;
   heartbeat.echo = 16;
-  heartbeat.facts = {.complete_through = revision(900),
+  heartbeat.facts = {.reflects_through = revision(900),
                      .highest = revision(905),
                      .changes_after = revision(12),
                      .hash = 0xffff'ffff'ffff'fff0ULL};
