--- a/packages/decision/include/jasminepath/decision/placement/keep_warm.h
+++ b/packages/decision/include/jasminepath/decision/placement/keep_warm.h
@@ -68,8 +68,8 @@
 
 // Chooses the timeout that would have cost least over the gaps between the
 // model's past arrivals, recent ones weighing more. Starts from the break-even
-// time and counts it as one earlier observation, so that a few gaps do not
-// decide alone.
+// time and assumes one gap before the first, so that a few gaps do not decide
+// alone.
 class adaptive_timeout {
  public:
   void OnArrivals(const model_id& model, int64_t count, time_point now);
--- a/packages/decision/src/placement/keep_warm.cc
+++ b/packages/decision/src/placement/keep_warm.cc
@@ -14,8 +14,10 @@
 constexpr double kClassGrowth = 1.3;
 // Weight that an observation keeps with each further one.
 constexpr double kMemory = 0.95;
-// Weight of the break-even time as an earlier observation.
-constexpr double kPriorWeight = 1.0;
+// Weights of two assumed earlier gaps: one as long as the break-even time, and
+// one longer than any timeout.
+constexpr double kPriorWeight = 0.5;
+constexpr double kLongPriorWeight = 0.5;
 
 int GapClass(double seconds, int classes) {
   if (seconds <= kSmallestGapSeconds)
@@ -98,7 +100,7 @@
   const double prior_gap = ToSeconds(break_even);
   // Gaps shorter than a timeout cost their own idle time; longer ones cost the
   // timeout's idle time and a cold start.
-  double longer = kPriorWeight;
+  double longer = kPriorWeight + kLongPriorWeight;
   for (const double weight : past.weight)
     longer += weight;
   double shorter_seconds = 0;
--- a/packages/decision/src/placement/placement_state.cc
+++ b/packages/decision/src/placement/placement_state.cc
@@ -148,6 +148,7 @@
     return;
   found->second.owner->OnStatus(OwnerContext(*vm));
   CheckOwner(vm->vm);
+  ConfirmByTable(found->second);
   AdoptUndecided(vm->vm);
 }
 
@@ -214,10 +215,7 @@
     if (!entry.owner || view == nullptr)
       continue;
     entry.owner->OnTick(OwnerContext(*view));
-    if (entry.owner->WantsTableConfirmation(now_)) {
-      entry.claim.Look();
-      Pump(VmKey(vm));
-    }
+    ConfirmByTable(entry);
   }
   for (auto& [model, entry] : models_) {
     if (!entry.claim.idle())
@@ -587,6 +585,13 @@
   Pump(VmKey(vm));
 }
 
+void placement_core::state::ConfirmByTable(vm_entry& entry) {
+  if (!entry.owner || !entry.owner->WantsTableConfirmation(now_))
+    return;
+  entry.claim.Look();
+  Pump(entry.claim.key());
+}
+
 void placement_core::state::AdoptUndecided(const vm_id& vm) {
   const vm_entry& entry = Vm(vm);
   if (!entry.owner)
--- a/packages/decision/src/placement/placement_state.h
+++ b/packages/decision/src/placement/placement_state.h
@@ -129,6 +129,7 @@
   void OnModelClaimChanged(const model_id& model);
   void DropOwner(vm_entry& entry);
   void CheckOwner(const vm_id& vm);
+  void ConfirmByTable(vm_entry& entry);
   void AdoptUndecided(const vm_id& vm);
 
   void Handle(const instance_id& from, const demand_report& message);
--- a/packages/decision/src/placement/vm_owner.cc
+++ b/packages/decision/src/placement/vm_owner.cc
@@ -9,6 +9,9 @@
 
 // An adapter that was asked for within this time is not evicted.
 constexpr duration kAdapterInUse = Seconds(10);
+// Within this time an owner that is alive sees that its engine has restarted
+// and raises the fence again.
+constexpr duration kRefencingTime = Seconds(10);
 
 replica_state FromListed(resident_state state) {
   switch (state) {
@@ -86,7 +89,10 @@
     Supersede(engine_fence_);
     return;
   }
-  if (phase_ == phase::reading && context.vm.observed_at > read_after_)
+  if (Restarted(context))
+    Revalidate(context);
+  const bool read = context.vm.observed_at > read_after_;
+  if (phase_ == phase::reading && read && Validated(context))
     Activate(context);
   if (phase_ == phase::active)
     Reconcile(context);
@@ -101,6 +107,10 @@
   orders_.erase(found);
   if (phase_ == phase::superseded)
     return true;
+  const bool old_fence =
+      order.kind == order_kind::fence && outcome.id != fence_order_;
+  if (old_fence && outcome.end != order_end::stale_epoch)
+    return true;
   if (outcome.end == order_end::stale_epoch) {
     Supersede(number_);
     return true;
@@ -262,6 +272,8 @@
 }
 
 bool vm_owner::WantsTableConfirmation(time_point now) const {
+  if (revalidating_)
+    return confirmed_by_table_at_ <= revalidating_since_;
   if (phase_ != phase::active)
     return false;
   const auto is_late = [this, now](const model_id& model) {
@@ -275,6 +287,7 @@
 
 void vm_owner::OnTableConfirmation(time_point asked_at,
                                    const owner_context& context) {
+  confirmed_by_table_at_ = std::max(confirmed_by_table_at_, asked_at);
   if (phase_ != phase::active)
     return;
   std::set<model_id> confirmed;
@@ -363,7 +376,7 @@
                       const owner_context& context) {
   // An owner that may be superseded must not speak for the VM.
   const auto found = promises_.find(model);
-  if (found == promises_.end() || !found->second.confirmed)
+  if (found == promises_.end() || !found->second.confirmed || !active())
     return;
   replica_report report;
   report.model = model;
@@ -439,9 +452,35 @@
   engine_fence_ = std::max(engine_fence_, fence);
 }
 
+bool vm_owner::Restarted(const owner_context& context) const {
+  return HonoursFencing(context) && !incarnation_.empty() &&
+         context.vm.status.incarnation != incarnation_;
+}
+
+void vm_owner::Revalidate(const owner_context& context) {
+  phase_ = phase::fencing;
+  revalidating_ = true;
+  revalidating_since_ = context.now;
+  incarnation_ = context.vm.status.incarnation;
+  unconfirmed_.merge(confirming_);
+  confirming_.clear();
+  SendFence(context);
+}
+
+bool vm_owner::Validated(const owner_context& context) const {
+  if (!revalidating_ || confirmed_by_table_at_ > revalidating_since_)
+    return true;
+  // While the table is down nobody can have taken the VM over since; one who
+  // had done so before has raised the fence again by now.
+  return context.now - revalidating_since_ > kRefencingTime;
+}
+
 void vm_owner::Activate(const owner_context& context) {
   phase_ = phase::active;
-  active_since_ = context.now;
+  incarnation_ = context.vm.status.incarnation;
+  // What deciders were promised outlasts a restart of the engine.
+  if (!std::exchange(revalidating_, false))
+    active_since_ = context.now;
 }
 
 void vm_owner::Reconcile(const owner_context& context) {
@@ -575,7 +614,6 @@
   if (phase_ == phase::fencing) {
     phase_ = phase::reading;
     read_after_ = context.now;
-    return;
   }
   const std::set<model_id> confirmed = std::exchange(confirming_, {});
   ConfirmPromises(confirmed, context);
--- a/packages/decision/src/placement/vm_owner.h
+++ b/packages/decision/src/placement/vm_owner.h
@@ -77,9 +77,11 @@
   // Returns false if the load is not one of this owner's.
   bool OnGrant(const store_grant& grant, const owner_context& context);
 
-  // Promises that only the table can confirm, since the engine does not
-  // answer. The row was read, asked for at `asked_at`, and names this owner.
+  // Whether the table has to confirm this owner: for promises, when the engine
+  // does not answer, and after the engine has restarted, since it may have
+  // forgotten a higher fencing number.
   bool WantsTableConfirmation(time_point now) const;
+  // The row was read, asked for at `asked_at`, and names this owner.
   void OnTableConfirmation(time_point asked_at, const owner_context& context);
 
   // Takes from the store that end with this owner's hold.
@@ -175,6 +177,9 @@
   // the model is reported.
   void AskConfirmation(const model_id& model, const owner_context& context);
   void Supersede(epoch fence);
+  bool Restarted(const owner_context& context) const;
+  void Revalidate(const owner_context& context);
+  bool Validated(const owner_context& context) const;
   void Activate(const owner_context& context);
   void Reconcile(const owner_context& context);
   void ReconcileListed(const resident_model& listed,
@@ -209,6 +214,11 @@
   placement_limits limits_;
   phase phase_ = phase::fencing;
   time_point read_after_;
+  // The engine's run that was fenced last, and since when another is.
+  std::string incarnation_;
+  bool revalidating_ = false;
+  time_point revalidating_since_;
+  time_point confirmed_by_table_at_ = time_point::min();
   time_point active_since_;
   epoch engine_fence_;
   memory_ledger ledger_;
--- a/packages/decision/src/routing/router_state.cc
+++ b/packages/decision/src/routing/router_state.cc
@@ -17,6 +17,8 @@
 // Endpoints of a pool whose load stands for the mean.
 constexpr std::size_t kMeanSample = 16;
 constexpr std::size_t kMostAdapterNeeds = 256;
+// An adapter is asked for at one endpoint at a time.
+constexpr duration kAdapterRetry = Seconds(1);
 
 }  // namespace
 
@@ -209,7 +211,7 @@
     number = PickOutOfRotation(*members, query);
   if (number == kNone)
     return {WhyNone(*members, query, now), {}, {}};
-  return Chosen(number, query);
+  return Chosen(number, query, now);
 }
 
 void router::state::OnDispatched(const endpoint_id& endpoint,
@@ -480,7 +482,8 @@
 }
 
 routing_choice router::state::Chosen(uint32_t number,
-                                     const routing_query& query) {
+                                     const routing_query& query,
+                                     time_point now) {
   const endpoint_entry& entry = endpoints_[number];
   if (!query.adapter.empty()) {
     const ready_model* ready = FindReady(entry, query.model);
@@ -488,12 +491,22 @@
         ready != nullptr &&
         std::find(ready->adapters.begin(), ready->adapters.end(),
                   query.adapter) != ready->adapters.end();
-    if (!resident && adapter_needs_.size() < kMostAdapterNeeds)
-      adapter_needs_.push_back({entry.endpoint.id, query.model, query.adapter});
-    if (!resident)
+    if (!resident) {
+      AskAdapter(entry, query, now);
       return {routing_verdict::wait, {}, {}};
+    }
   }
   return {routing_verdict::picked, entry.endpoint.id, entry.endpoint.address};
 }
 
+void router::state::AskAdapter(const endpoint_entry& entry,
+                               const routing_query& query,
+                               time_point now) {
+  time_point& retry_at = adapter_retry_at_[query.adapter];
+  if (now < retry_at || adapter_needs_.size() >= kMostAdapterNeeds)
+    return;
+  retry_at = now + kAdapterRetry;
+  adapter_needs_.push_back({entry.endpoint.id, query.model, query.adapter});
+}
+
 }  // namespace jasminepath::decision
--- a/packages/decision/src/routing/router_state.h
+++ b/packages/decision/src/routing/router_state.h
@@ -118,7 +118,12 @@
   routing_verdict WhyNone(const pool& members,
                           const routing_query& query,
                           time_point now) const;
-  routing_choice Chosen(uint32_t number, const routing_query& query);
+  routing_choice Chosen(uint32_t number,
+                        const routing_query& query,
+                        time_point now);
+  void AskAdapter(const endpoint_entry& entry,
+                  const routing_query& query,
+                  time_point now);
   double MeanLoad(const pool& members) const;
 
   zone_id zone_;
@@ -134,6 +139,8 @@
   std::set<vm_id> gone_;
   prefix_index prefixes_;
   std::vector<adapter_need> adapter_needs_;
+  // When each adapter may be asked for again.
+  std::unordered_map<adapter_id, time_point> adapter_retry_at_;
 };
 
 }  // namespace jasminepath::decision
