--- a/packages/decision/include/jasminepath/decision/placement/placement_action.h
+++ b/packages/decision/include/jasminepath/decision/placement/placement_action.h
@@ -85,6 +85,10 @@
   endpoint_id endpoint;
   std::string address;
   endpoint_order order;
+  // Unless empty: the run of the engine that the order is for. Send it only on
+  // a connection on which the engine has said that this is its run, and report
+  // `failed` otherwise; a new run may have forgotten a higher fencing number.
+  std::string incarnation;
   // The order must not be sent after this; report `failed` instead. No copy of
   // it may take effect later than the settle time after this.
   time_point expires;
--- a/packages/decision/src/placement/vm_owner.cc
+++ b/packages/decision/src/placement/vm_owner.cc
@@ -92,10 +92,14 @@
   if (Restarted(context))
     Revalidate(context);
   const bool read = context.vm.observed_at > read_after_;
-  if (phase_ == phase::reading && read && Validated(context))
+  if (phase_ == phase::reading && read && FenceLost(context))
+    FenceAgain(context);
+  else if (phase_ == phase::reading && read && Validated(context))
     Activate(context);
-  if (phase_ == phase::active)
-    Reconcile(context);
+  if (phase_ != phase::active)
+    return;
+  incarnation_ = context.vm.status.incarnation;
+  Reconcile(context);
 }
 
 bool vm_owner::OnOutcome(const order_outcome& outcome,
@@ -315,9 +319,9 @@
   const std::string id = order.id;
   const time_point expires = context.now + limits_.order_expiry;
   orders_[id] = {order.kind, order.model, order.adapter, expires};
-  context.actions.push_back(send_order{context.vm.endpoint.id,
-                                       context.vm.endpoint.address,
-                                       std::move(order), expires});
+  context.actions.push_back(
+      send_order{context.vm.endpoint.id, context.vm.endpoint.address,
+                 std::move(order), incarnation_, expires});
   return id;
 }
 
@@ -457,11 +461,19 @@
          context.vm.status.incarnation != incarnation_;
 }
 
+bool vm_owner::FenceLost(const owner_context& context) const {
+  return HonoursFencing(context) && context.vm.status.fence < number_;
+}
+
 void vm_owner::Revalidate(const owner_context& context) {
-  phase_ = phase::fencing;
   revalidating_ = true;
   revalidating_since_ = context.now;
   incarnation_ = context.vm.status.incarnation;
+  FenceAgain(context);
+}
+
+void vm_owner::FenceAgain(const owner_context& context) {
+  phase_ = phase::fencing;
   unconfirmed_.merge(confirming_);
   confirming_.clear();
   SendFence(context);
--- a/packages/decision/src/placement/vm_owner.h
+++ b/packages/decision/src/placement/vm_owner.h
@@ -178,7 +178,10 @@
   void AskConfirmation(const model_id& model, const owner_context& context);
   void Supersede(epoch fence);
   bool Restarted(const owner_context& context) const;
+  // The engine's run does not know this owner's epoch, though one did.
+  bool FenceLost(const owner_context& context) const;
   void Revalidate(const owner_context& context);
+  void FenceAgain(const owner_context& context);
   bool Validated(const owner_context& context) const;
   void Activate(const owner_context& context);
   void Reconcile(const owner_context& context);
--- a/packages/decision/tests/placement/placement_world.cc
+++ b/packages/decision/tests/placement/placement_world.cc
@@ -449,25 +449,32 @@
     answer(order_end::unknown, Between(100, 2000));
     if (Chance(500))
       At(now_ + Between(1, 11000),
-         [this, vm, order = action.order] { Execute(vm, order); });
+         [this, vm, order = action.order, run = action.incarnation] {
+           Execute(vm, order, run);
+         });
     return;
   }
-  At(now_ + NetworkDelay(), [this, vm, order = action.order, answer] {
-    const engine& target = engines_[static_cast<std::size_t>(vm)];
-    if (!target.alive) {
-      answer(order_end::failed, NetworkDelay());
-      return;
-    }
-    const order_end end = Execute(vm, order);
-    const bool lost = Chance(options_.order_lost);
-    answer(lost ? order_end::unknown : end, NetworkDelay());
-  });
-}
-
-order_end placement_world::Execute(int vm, const endpoint_order& order) {
+  At(now_ + NetworkDelay(),
+     [this, vm, order = action.order, run = action.incarnation, answer] {
+       const engine& target = engines_[static_cast<std::size_t>(vm)];
+       if (!target.alive) {
+         answer(order_end::failed, NetworkDelay());
+         return;
+       }
+       const order_end end = Execute(vm, order, run);
+       const bool lost = Chance(options_.order_lost);
+       answer(lost ? order_end::unknown : end, NetworkDelay());
+     });
+}
+
+order_end placement_world::Execute(int vm,
+                                   const endpoint_order& order,
+                                   const std::string& incarnation) {
   engine& target = engines_[static_cast<std::size_t>(vm)];
   if (!target.alive)
     return order_end::failed;
+  if (!incarnation.empty() && incarnation != std::to_string(target.incarnation))
+    return order_end::failed;
   AdvanceEngine(vm);
   if (target.endpoint.honours_fencing) {
     if (order.number < target.fence)
--- a/packages/decision/tests/placement/placement_world.h
+++ b/packages/decision/tests/placement/placement_world.h
@@ -126,7 +126,9 @@
   void Do(int index, const send_order& action);
   void Do(int, const load_estimate&) {}
   void Do(int, const replica_ready&) {}
-  order_end Execute(int vm, const endpoint_order& order);
+  order_end Execute(int vm,
+                    const endpoint_order& order,
+                    const std::string& incarnation);
   void AdvanceEngine(int vm);
   void CheckLoad(int vm, const model_id& model);
   void Break(const std::string& text);
