Unload idle replicas whose decider has ended

Cause: when a decider ended and no caller came, nobody took its model over and its replicas stayed loaded for ever. Change: an owner reports a replica whose decider is gone to the next candidate, which takes the model. A new decider gives what it finds one keep-warm time. Histories now end with a check that no idle replica is left.

--- a/packages/decision/src/placement/model_decider.cc
+++ b/packages/decision/src/placement/model_decider.cc
@@ -185,6 +185,9 @@
 }
 
 void model_decider::Step(const decider_context& context) {
+  // What an earlier decider has loaded may have been used just now.
+  if (!last_use_)
+    last_use_ = context.now;
   ExpireDemand(context.now);
   SyncSlots(context);
   WatchLoads(context);
--- a/packages/decision/src/placement/placement_state.cc
+++ b/packages/decision/src/placement/placement_state.cc
@@ -594,11 +594,14 @@
 
 void placement_core::state::AdoptUndecided(const vm_id& vm) {
   const vm_entry& entry = Vm(vm);
-  if (!entry.owner)
+  if (!entry.owner || !entry.owner->active())
     return;
-  for (const model_id& model : entry.owner->UndecidedModels()) {
+  for (const model_id& model : entry.owner->Models()) {
+    const instance_id decider = entry.owner->DeciderOf(model);
     if (site_.FindModel(model) == nullptr)
       continue;
+    if (!decider.empty() && Available(decider))
+      continue;
     replica_report report;
     report.model = model;
     report.vm = vm;
@@ -659,6 +662,7 @@
   const bool undecided = message.model_epoch == epoch();
   if (!undecided || site_.FindModel(message.model) == nullptr)
     return;
+  NoteAbsentHolder(entry.claim.holder());
   if (MayTakeModel(entry.claim)) {
     entry.claim.Take();
     Pump(ModelKey(message.model));
@@ -741,6 +745,7 @@
     SendNotice(from, entry.claim);
     return;
   }
+  NoteAbsentHolder(entry.claim.holder());
   if (MayTakeModel(entry.claim)) {
     entry.early_demand[from] = demand;
     entry.claim.Take();
--- a/packages/decision/src/placement/vm_owner.cc
+++ b/packages/decision/src/placement/vm_owner.cc
@@ -43,15 +43,9 @@
   return models;
 }
 
-std::vector<model_id> vm_owner::UndecidedModels() const {
-  std::vector<model_id> models;
-  if (!active())
-    return models;
-  for (const auto& [model, replica] : replicas_) {
-    if (!promises_.contains(model))
-      models.push_back(model);
-  }
-  return models;
+instance_id vm_owner::DeciderOf(const model_id& model) const {
+  const auto found = promises_.find(model);
+  return found == promises_.end() ? instance_id() : found->second.decider;
 }
 
 std::vector<std::string> vm_owner::StoreLoads() const {
--- a/packages/decision/src/placement/vm_owner.h
+++ b/packages/decision/src/placement/vm_owner.h
@@ -54,8 +54,8 @@
   epoch engine_fence() const { return engine_fence_; }
   const memory_ledger& ledger() const { return ledger_; }
   std::vector<model_id> Models() const;
-  // Models that are loaded here and that no decider has asked about.
-  std::vector<model_id> UndecidedModels() const;
+  // The last decider that asked about the model; empty if none has.
+  instance_id DeciderOf(const model_id& model) const;
 
   void Start(const owner_context& context);
   void OnStatus(const owner_context& context);
--- a/packages/decision/tests/placement/placement_history_test.cc
+++ b/packages/decision/tests/placement/placement_history_test.cc
@@ -16,6 +16,8 @@
 constexpr int kPropertyRuns = 100;
 constexpr duration kFaultTime = Seconds(25);
 constexpr duration kHealTime = Seconds(150);
+// Enough for every idle replica to be unloaded.
+constexpr duration kIdleTime = Seconds(90);
 
 // What may happen to the world between two moments.
 enum class fault {
@@ -137,9 +139,16 @@
     if (!world.violation().empty())
       return world.violation();
     if (world.AllServed())
-      return "";
+      break;
+  }
+  if (!world.AllServed())
+    return "forgotten: " + world.Unserved();
+  world.RunFor(kIdleTime);
+  for (int model = 0; model < options.models; ++model) {
+    if (world.ResidentCount(model) > 0)
+      return "idle replica of m" + std::to_string(model) + " was kept";
   }
-  return "forgotten: " + world.Unserved();
+  return world.violation();
 }
 
 void CheckHistories(const char* text, const world_options& base) {
