--- a/packages/replay/src/endpoint_model.cc
+++ b/packages/replay/src/endpoint_model.cc
@@ -54,13 +54,20 @@
 }
 
 order_end endpoint_model::TakeOrder(const decision::endpoint_order& order) {
+  const order_end end = Obey(order);
+  if (end == order_end::accepted)
+    taken_orders_.insert(order.id);
+  return end;
+}
+
+order_end endpoint_model::Obey(const decision::endpoint_order& order) {
   if (!running_)
     return order_end::failed;
   if (self_.honours_fencing && order.number < fence_)
     return order_end::stale_epoch;
   if (self_.honours_fencing)
     fence_ = std::max(fence_, order.number);
-  if (!taken_orders_.insert(order.id).second)
+  if (taken_orders_.contains(order.id))
     return order_end::accepted;
   switch (order.kind) {
     case decision::order_kind::fence:
@@ -85,8 +92,13 @@
   const config::model* model = FindModel(order.model);
   if (model == nullptr)
     return order_end::failed;
-  if (replicas_.contains(order.model))
-    return order_end::accepted;
+  if (const auto found = replicas_.find(order.model);
+      found != replicas_.end()) {
+    // What is being unloaded cannot be loaded until it has gone.
+    return found->second.state == resident_state::unloading
+               ? order_end::failed
+               : order_end::accepted;
+  }
   if (MemoryUsed() + model->weights + model->cache_reserve > self_.memory) {
     listener_.on_violation("memory_overcommit",
                            self_.id.value() + " for " + order.model.value());
--- a/packages/replay/src/endpoint_model.h
+++ b/packages/replay/src/endpoint_model.h
@@ -98,6 +98,7 @@
 
   const config::model* FindModel(const model_id& id) const;
   bytes MemoryUsed() const;
+  decision::order_end Obey(const decision::endpoint_order& order);
   decision::order_end LoadModel(const decision::endpoint_order& order);
   void UnloadModel(const decision::endpoint_order& order);
   decision::order_end LoadAdapter(const decision::endpoint_order& order);
--- a/packages/standin/src/engine_residents.cc
+++ b/packages/standin/src/engine_residents.cc
@@ -98,7 +98,8 @@
       said = UnloadAdapter(order);
       break;
   }
-  answered_[order.id] = said;
+  if (said != order_result::unloading)
+    answered_[order.id] = said;
   return said;
 }
 
@@ -126,8 +127,10 @@
                                          bool dies,
                                          time_point now) {
   const resident_key key{order.model, order.version};
-  if (residents_.contains(key))
-    return order_result::accepted;
+  if (const auto found = residents_.find(key); found != residents_.end()) {
+    return found->second.at == state::unloading ? order_result::unloading
+                                                : order_result::accepted;
+  }
   const int64_t bytes = CostOf(order.model).weights_bytes;
   if (!Fits(bytes))
     return order_result::no_memory;
--- a/packages/standin/src/engine_residents.h
+++ b/packages/standin/src/engine_residents.h
@@ -45,7 +45,13 @@
 received_order ParseOrder(const json_object& body);
 
 // What an engine says to an order.
-enum class order_result { accepted, stale_epoch, no_memory, no_such_model };
+enum class order_result {
+  accepted,
+  stale_epoch,
+  no_memory,
+  no_such_model,
+  unloading,  // The model is on its way out and cannot be loaded yet.
+};
 
 // A model or adapter that an engine is loading.
 struct pending_load {
--- a/packages/standin/src/engine_standin.cc
+++ b/packages/standin/src/engine_standin.cc
@@ -396,6 +396,8 @@
         return answer.Send(kConflictStatus, ToText(body));
       case order_result::no_memory:
         return answer.Send(kNoMemoryStatus, ErrorText("no_memory"));
+      case order_result::unloading:
+        return answer.Send(kConflictStatus, ErrorText("unloading"));
       case order_result::no_such_model:
         return answer.Send(kConflictStatus, ErrorText("model_not_resident"));
     }
--- a/packages/standin/tests/engine_standin_test.cc
+++ b/packages/standin/tests/engine_standin_test.cc
@@ -177,6 +177,24 @@
   BOOST_TEST(!residents.CanRun("m", ""));
 }
 
+BOOST_AUTO_TEST_CASE(a_load_during_the_unload_is_refused_and_can_be_repeated) {
+  const engine_options options = SmallEngine();
+  engine_residents residents(options, "one");
+  time_point now{};
+  residents.Take(Load("a", 1, "m"), false, now);
+  received_order unload = Load("b", 1, "m");
+  unload.kind = order_kind::unload_model;
+  residents.Take(unload, false, now);
+  BOOST_TEST((residents.Take(Load("c", 1, "m"), false, now) ==
+              order_result::unloading));
+  now += Seconds(1);
+  residents.Advance(now);
+  residents.Take(Load("c", 1, "m"), false, now);
+  now += Seconds(10);
+  residents.Advance(now);
+  BOOST_TEST(residents.CanRun("m", ""));
+}
+
 BOOST_AUTO_TEST_CASE(waiting_generations_start_by_priority) {
   stream_book book(1);
   const stream_timing timing{Milliseconds(10), Milliseconds(1)};
