Bench: keep the model loaded through the direct runs

Cause: in the first trial the node unloaded the idle model while calls went straight to the engine, and those failed. Change: the bench's site prices a cold start far above an idle hour.

--- a/bench/overhead.sh
+++ b/bench/overhead.sh
@@ -14,7 +14,8 @@
 
 site=$work/site
 mkdir -p "$site/assistant"
-jq '.teams = [{id: "bench", rate_per_second: 100000000, burst: 100000000, weight: 1}] | .objectives = []' \
+jq '.teams = [{id: "bench", rate_per_second: 100000000, burst: 100000000, weight: 1}] | .objectives = [] |
+    .weights = {cold_start_second: 1000, idle_accelerator_hour: 0.001}' \
   examples/threadwell/site.json >"$site/site.json"
 jq '.teams = ["bench"] | .endpoint_concurrency = 1024 | .queue_limit = 1024 | .endpoints = [.endpoints[0]] |
     .models = [.models[0]] | .models[0].adapters = []' \
@@ -41,7 +42,7 @@
 key=$("$bin/jasminepath" key give --team bench --platform "$platform" --operator-token-file "$work/token" 2>>"$log/tool.err" |
   sed -n 's/^key: //p')
 
-# Loads the model, so that no run below is a cold start.
+# Loads the model, so that no run below is a cold start; the prices above keep it loaded.
 "$bin/loadgen" --target "$(caller_of 1)" --key "$key" --model "$model" --label warm_up
 for streams in 1 32 512; do
   calls=$((streams == 1 ? 20 : 4))
