--- a/packages/decision/include/jasminepath/decision/admission/call_coordinator.h
+++ b/packages/decision/include/jasminepath/decision/admission/call_coordinator.h
@@ -178,6 +178,14 @@
     int64_t running = 0;
     int64_t arrivals = 0;
   };
+  // Copies of one request that run at the endpoint together.
+  struct running_copies {
+    int64_t count = 0;
+    endpoint_id endpoint;
+    std::string address;
+    // One of them was answered, so that others need not stay together.
+    bool proven = false;
+  };
   struct team_counters {
     int64_t admitted = 0;
     int64_t answered = 0;
@@ -209,6 +217,10 @@
   void BeginClaim(call_state& call, time_point now, action_list& actions);
   void Enqueue(call_state& call, time_point now, action_list& actions);
   void ServeQueue(const queue_id& id, time_point now, action_list& actions);
+  routing_choice JoinCopies(const call_state& call,
+                            const routing_choice& choice) const;
+  void NoteCopy(const call_state& call, const routing_choice& choice);
+  void DropCopy(const call_state& call);
   void Dispatch(call_state& call,
                 const routing_choice& choice,
                 time_point now,
@@ -279,6 +291,7 @@
   std::map<queue_id, service_queue> queues_;
   std::set<std::pair<time_point, request_id>> wakes_;
   std::map<team_id, team_counters> counters_;
+  std::unordered_map<request_fingerprint, running_copies> copies_;
   int64_t open_calls_ = 0;
   int64_t retry_count_ = 0;
   time_point last_pick_;
--- a/packages/decision/include/jasminepath/decision/admission/call_coordinator_impl.h
+++ b/packages/decision/include/jasminepath/decision/admission/call_coordinator_impl.h
@@ -310,8 +310,10 @@
   }
   escrow_.OnTick(now, escrow_output_);
   quarantine_.OnTick(now, quarantine_output_);
-  if (now >= last_pick_ + limits_.repick_interval)
+  if (now >= last_pick_ + limits_.repick_interval) {
+    last_pick_ = now;
     MarkAllQueues();
+  }
   Drain(now, actions);
 }
 
@@ -583,13 +585,56 @@
       return;
     if (choice.verdict == routing_verdict::picked) {
       queue.calls.Pop();
-      Dispatch(call, choice, now, actions);
+      Dispatch(call, JoinCopies(call, choice), now, actions);
     } else {
       Fail(call, RoutingRefusal(call, choice.verdict), now, actions);
     }
   }
 }
 
+// Sends a copy of a request that runs already to the same endpoint until one
+// copy was answered, so that a request which crashes endpoints ends only one.
+template <endpoint_router Router,
+          typename EscrowPolicy,
+          queue_discipline Discipline>
+routing_choice call_coordinator<Router, EscrowPolicy, Discipline>::JoinCopies(
+    const call_state& call,
+    const routing_choice& choice) const {
+  const auto found = copies_.find(call.resolved.fingerprint);
+  if (found == copies_.end() || found->second.proven)
+    return choice;
+  const running_copies& copies = found->second;
+  const bool avoided = std::find(call.avoid.begin(), call.avoid.end(),
+                                 copies.endpoint) != call.avoid.end();
+  if (avoided)
+    return choice;
+  return {routing_verdict::picked, copies.endpoint, copies.address};
+}
+
+template <endpoint_router Router,
+          typename EscrowPolicy,
+          queue_discipline Discipline>
+void call_coordinator<Router, EscrowPolicy, Discipline>::NoteCopy(
+    const call_state& call,
+    const routing_choice& choice) {
+  running_copies& copies = copies_[call.resolved.fingerprint];
+  if (copies.count++ > 0)
+    return;
+  copies.endpoint = choice.endpoint;
+  copies.address = choice.address;
+}
+
+template <endpoint_router Router,
+          typename EscrowPolicy,
+          queue_discipline Discipline>
+void call_coordinator<Router, EscrowPolicy, Discipline>::DropCopy(
+    const call_state& call) {
+  const auto found = copies_.find(call.resolved.fingerprint);
+  found->second.proven = found->second.proven || call.answered;
+  if (--found->second.count == 0)
+    copies_.erase(found);
+}
+
 template <endpoint_router Router,
           typename EscrowPolicy,
           queue_discipline Discipline>
@@ -607,6 +652,7 @@
   call.endpoint = choice.endpoint;
   call.query = MakeRoutingQuery(call);
   router_.OnDispatched(call.endpoint, call.query, now);
+  NoteCopy(call, choice);
   ++QueueOf(call).running;
   actions.push_back(dispatch_call{
       .id = call.arrival.id,
@@ -640,6 +686,7 @@
   const bool relayed_error =
       report.end == attempt_end::server_error && report.relayed > bytes(0);
   call.answered = report.end == attempt_end::answered || relayed_error;
+  DropCopy(call);
   MarkService(call.resolved.queue.service);
 }
 
