Refuse waiting calls that a newer configuration does not allow

Cause: a call that waited for an endpoint was still sent after its team had lost the service or had been taken out of the configuration. Change: each configuration is checked against the calls that wait; those at an endpoint go on. The coordinator is instantiated with the node's own router in the tests. Checked: decision_test's call_coordinator_test and quarantine_test pass.

--- a/packages/decision/include/jasminepath/decision/admission/call_coordinator.h
+++ b/packages/decision/include/jasminepath/decision/admission/call_coordinator.h
@@ -68,7 +68,9 @@
                     static_cast<std::size_t>(limits.max_quarantine_records)),
         retries_(limits.retry_percent, limits.fleet_retry_reserve) {}
 
-  // A configuration has come into force.
+  // A configuration has come into force; an older one than that in force has no
+  // effect. Calls that wait and are no longer allowed are refused; those at an
+  // endpoint go on.
   void OnConfiguration(std::shared_ptr<const config::configuration> source,
                        time_point now,
                        action_list& actions);
@@ -199,6 +201,7 @@
   std::string MakeNonce();
 
   // Steps from arrival to dispatch.
+  void RefuseDisallowedCalls(time_point now, action_list& actions);
   void RefuseArrival(const call_arrival& arrival,
                      const team_id& team,
                      refusal reason,
--- a/packages/decision/include/jasminepath/decision/admission/call_coordinator_impl.h
+++ b/packages/decision/include/jasminepath/decision/admission/call_coordinator_impl.h
@@ -39,6 +39,7 @@
   configuration_ = std::move(source);
   for (const config::team& team : configuration_->teams)
     escrow_.SetTeam(team.id, team.rate_per_second, team.burst, now);
+  RefuseDisallowedCalls(now, actions);
   MarkAllQueues();
   Drain(now, actions);
 }
@@ -434,6 +435,25 @@
   return self_.value() + "/" + number;
 }
 
+template <endpoint_router Router,
+          typename EscrowPolicy,
+          queue_discipline Discipline>
+void call_coordinator<Router, EscrowPolicy, Discipline>::RefuseDisallowedCalls(
+    time_point now,
+    action_list& actions) {
+  std::vector<request_id> affected;
+  for (const auto& [id, call] : calls_) {
+    const bool waits =
+        call.phase != call_phase::running && call.phase != call_phase::ended;
+    if (waits && !IsStillAllowed(call.resolved, *configuration_))
+      affected.push_back(id);
+  }
+  for (const request_id& id : affected) {
+    call_state& call = *Find(id);
+    Fail(call, NoLongerAllowedRefusal(call), now, actions);
+  }
+}
+
 template <endpoint_router Router,
           typename EscrowPolicy,
           queue_discipline Discipline>
--- a/packages/decision/include/jasminepath/decision/admission/call_refusals.h
+++ b/packages/decision/include/jasminepath/decision/admission/call_refusals.h
@@ -26,6 +26,8 @@
 refusal RoutingRefusal(const call_state& call, routing_verdict verdict);
 // The last attempt failed and there is no other.
 refusal AttemptRefusal(const call_state& call);
+// A newer configuration does not let the call begin.
+refusal NoLongerAllowedRefusal(const call_state& call);
 refusal KeyWithdrawnRefusal(const call_state& call);
 refusal CallerGoneRefusal(const call_state& call);
 refusal ClaimRefusal(const claim_rejected& why);
--- a/packages/decision/include/jasminepath/decision/admission/call_resolution.h
+++ b/packages/decision/include/jasminepath/decision/admission/call_resolution.h
@@ -84,6 +84,11 @@
     const config::configuration& configuration,
     const coordinator_limits& limits);
 
+// Whether a call that was resolved under an earlier configuration may still
+// begin to run under this one: its service exists and its team may use it.
+bool IsStillAllowed(const resolved_call& call,
+                    const config::configuration& configuration);
+
 }  // namespace jasminepath::decision
 
 #endif  // JASMINEPATH_DECISION_ADMISSION_CALL_RESOLUTION_H_
--- a/packages/decision/src/admission/call_refusals.cc
+++ b/packages/decision/src/admission/call_refusals.cc
@@ -96,6 +96,12 @@
   }
 }
 
+refusal NoLongerAllowedRefusal(const call_state& call) {
+  return WithRunState(call, refusal_code::forbidden,
+                      "the team may no longer use service " +
+                          call.resolved.queue.service.value());
+}
+
 refusal KeyWithdrawnRefusal(const call_state& call) {
   return WithRunState(call, refusal_code::key_withdrawn,
                       "the team key has been withdrawn");
--- a/packages/decision/src/admission/call_resolution.cc
+++ b/packages/decision/src/admission/call_resolution.cc
@@ -32,18 +32,24 @@
   return NotRun(refusal_code::unauthenticated, "the team key is not valid");
 }
 
+bool MayUse(const team_id& team,
+            const config::service& service,
+            const config::configuration& configuration) {
+  const bool listed = service.teams.empty() ||
+                      std::find(service.teams.begin(), service.teams.end(),
+                                team) != service.teams.end();
+  return listed && config::FindTeam(configuration, team) != nullptr;
+}
+
 // Checks that the caller's team may use the service and notes its weight.
 result<void, refusal> Authorise(const config::configuration& configuration,
                                 const config::service& service,
                                 resolved_call& call) {
-  const config::team* team = config::FindTeam(configuration, call.caller.team);
-  const bool listed = service.teams.empty() ||
-                      std::find(service.teams.begin(), service.teams.end(),
-                                call.caller.team) != service.teams.end();
-  if (team == nullptr || !listed) {
+  if (!MayUse(call.caller.team, service, configuration)) {
     return NotRun(refusal_code::forbidden,
                   "the team may not use service " + service.id.value());
   }
+  const config::team* team = config::FindTeam(configuration, call.caller.team);
   call.weight = std::max<int64_t>(team->weight, 1);
   return success();
 }
@@ -168,4 +174,15 @@
                           configuration, limits);
 }
 
+bool IsStillAllowed(const resolved_call& call,
+                    const config::configuration& configuration) {
+  const auto service = std::find_if(
+      configuration.services.begin(), configuration.services.end(),
+      [&](const auto& entry) { return entry.id == call.queue.service; });
+  if (service == configuration.services.end())
+    return false;
+  return call.caller.team.empty() ||
+         MayUse(call.caller.team, *service, configuration);
+}
+
 }  // namespace jasminepath::decision
--- a/packages/decision/tests/admission/call_coordinator_test.cc
+++ b/packages/decision/tests/admission/call_coordinator_test.cc
@@ -3,8 +3,13 @@
 #include <boost/test/unit_test.hpp>
 
 #include "admission/admission_fixture.h"
+#include "jasminepath/decision/routing/router.h"
 
 namespace jasminepath::decision {
+
+// The router that the node uses fits.
+template class call_coordinator<router>;
+
 namespace {
 
 BOOST_FIXTURE_TEST_SUITE(call_coordinator_test, admission_fixture)
@@ -130,6 +135,25 @@
       (Seen<refuse_call>()[0].reason.code == refusal_code::unauthenticated));
 }
 
+BOOST_AUTO_TEST_CASE(WaitingCallOfATeamThatMayNoLongerCallIsRefused) {
+  router.set_places(0);
+  Arrive(RouteCall("r1", "GET", "/orders"));
+  Arrive(ModelCall("r2"));
+  actions.clear();
+  auto changed =
+      std::make_shared<config::configuration>(*MakeTestConfiguration());
+  changed->version = revision(2);
+  changed->services[1].teams = {team_id("pegs")};
+  calls.OnConfiguration(changed, now, actions);
+  BOOST_TEST(Seen<refuse_call>().size() == 1u);
+  BOOST_TEST((Seen<refuse_call>()[0].id == request_id("r1")));
+  BOOST_TEST((Seen<refuse_call>()[0].reason.code == refusal_code::forbidden));
+  actions.clear();
+  calls.OnConfiguration(MakeTestConfiguration(), now, actions);
+  Arrive(RouteCall("r3", "GET", "/orders"));
+  BOOST_TEST((Seen<refuse_call>()[0].reason.code == refusal_code::forbidden));
+}
+
 BOOST_AUTO_TEST_CASE(RateLimitTellsWhenToRetry) {
   call_arrival large = ModelCall("r1");
   large.target = model_target{model_id("m"), {}, tokens(98'000), tokens(500)};
