Drop a caller's secret once its key is checked; measure a waiting call

Cause: the secret stayed in the state of a call for as long as the call lived. Checked: call_coordinator_test passes.

--- a/bench/admission/decision_cost.cc
+++ b/bench/admission/decision_cost.cc
@@ -1,3 +1,5 @@
+#include <malloc.h>
+
 #include <chrono>
 #include <cstdio>
 #include <memory>
@@ -15,10 +17,13 @@
 
 constexpr int kCalls = 200'000;
 
-// Always has room.
+// Always has room, or never.
 class open_router {
  public:
+  explicit open_router(bool open = true) : open_(open) {}
   decision::routing_choice Pick(const decision::routing_query&, time_point) {
+    if (!open_)
+      return {decision::routing_verdict::wait, {}, {}};
     return {decision::routing_verdict::picked, endpoint_id("e"), "10.0.0.1:80"};
   }
   void OnDispatched(const endpoint_id&,
@@ -28,6 +33,9 @@
                   const decision::routing_query&,
                   decision::attempt_end,
                   time_point) {}
+
+ private:
+  bool open_;
 };
 
 std::shared_ptr<const config::configuration> MakeSite(int models, int teams) {
@@ -102,6 +110,42 @@
       models, teams, open_calls, kCalls, seconds / kCalls * 1e6);
 }
 
+// Heap that one call takes while it waits for an endpoint.
+void MeasureWaitingCall() {
+  constexpr int kWaiting = 8000;
+  open_router router(false);
+  decision::call_coordinator<open_router> calls(
+      instance_id("n"), router, random_engine(1), {.max_calls = 100'000});
+  std::vector<call_action> actions;
+  time_point now(Seconds(1));
+  auto site = std::make_shared<config::configuration>(*MakeSite(30, 1));
+  site->services[0].queue_limit = kWaiting;
+  calls.OnConfiguration(site, now, actions);
+  calls.OnKeyFact({key_id("k0"), team_id("t0"), Sha256Hex("secret"), false},
+                  revision(1), now, actions);
+  calls.OnShare(team_id("t0"), decision::kWholeFractionPpm, now, actions);
+  calls.OnReadiness(true, refusal_code::isolated, now, actions);
+  now += Seconds(10);
+  const std::size_t before = mallinfo2().uordblks;
+  for (int i = 0; i < kWaiting; ++i) {
+    decision::call_arrival arrival;
+    arrival.id = request_id("request-of-typical-length-" + std::to_string(i));
+    arrival.presented_key = "k0.secret";
+    arrival.target =
+        decision::model_target{model_id("m" + std::to_string(i % 30)),
+                               {},
+                               tokens(100),
+                               tokens(200),
+                               1};
+    arrival.body_digest = Sha256Hex(std::to_string(i));
+    calls.OnArrival(std::move(arrival), now, actions);
+  }
+  const std::size_t after = mallinfo2().uordblks;
+  std::printf("measure=waiting_call calls=%lld bytes_per_call=%zu\n",
+              static_cast<long long>(calls.open_calls()),
+              (after - before) / kWaiting);
+}
+
 }  // namespace
 
 void MeasureDecisionCost() {
@@ -110,6 +154,7 @@
   Measure(30, 5, 1000);
   Measure(75, 100, 1000);
   Measure(75, 100, 10'000);
+  MeasureWaitingCall();
 }
 
 }  // namespace jasminepath::bench
--- a/packages/decision/include/jasminepath/decision/admission/call_coordinator_impl.h
+++ b/packages/decision/include/jasminepath/decision/admission/call_coordinator_impl.h
@@ -484,6 +484,8 @@
   const request_id id = arrival.id;
   call_state& call = calls_[id];
   call.arrival = std::move(arrival);
+  // The secret is not kept any longer than it is needed.
+  call.arrival.presented_key.reset();
   call.resolved = std::move(resolved);
   call.arrived = now;
   call.deadline = now + call.resolved.time_allowed;
