--- /dev/null
+++ b/fuzz/team_key_fuzzer.cc
@@ -0,0 +1,20 @@
+#include "fuzz_check.h"
+#include "jasminepath/config/team_key_codec.h"
+
+// Presented keys and key rows are refused or taken apart without loss.
+extern "C" int LLVMFuzzerTestOneInput(const uint8_t* data, std::size_t size) {
+  using namespace jasminepath;
+  const std::string text = fuzz::InputText(data, size);
+  if (const auto key = config::ParsePresentedKey(text)) {
+    const std::string joined =
+        std::string(key->id) + "." + std::string(key->secret);
+    fuzz::Require(joined == text, "a key is its two parts");
+  }
+  const auto row = config::TeamKeyFromJson(text);
+  if (row) {
+    const auto again = config::TeamKeyFromJson(config::ToJson(row.value()));
+    fuzz::Require(again.has_value() && again.value() == row.value(),
+                  "a row survives its JSON");
+  }
+  return 0;
+}
--- a/packages/config/include/jasminepath/config/site_loader.h
+++ b/packages/config/include/jasminepath/config/site_loader.h
@@ -2,6 +2,7 @@
 #define JASMINEPATH_CONFIG_SITE_LOADER_H_
 
 #include <string>
+#include <vector>
 
 #include "jasminepath/base/result.h"
 #include "jasminepath/config/configuration.h"
@@ -19,6 +20,18 @@
   friend bool operator==(const site&, const site&) = default;
 };
 
+// A file of a site as text; the name is used in faults.
+struct site_file {
+  std::string name;
+  std::string text;
+
+  friend bool operator==(const site_file&, const site_file&) = default;
+};
+
+// Checks and compiles the text of `site.json` and of service files.
+result<site, fault_list> ParseSite(const site_file& site_json,
+                                   const std::vector<site_file>& services);
+
 // Reads `site.json` and every `*.service.json` below `directory`, checks each
 // and all together, and returns all faults at once.
 result<site, fault_list> LoadSite(const std::string& directory);
--- a/packages/config/src/site_loader.cc
+++ b/packages/config/src/site_loader.cc
@@ -3,10 +3,10 @@
 #include <algorithm>
 #include <deque>
 #include <filesystem>
+#include <optional>
 #include <string_view>
 #include <system_error>
 #include <utility>
-#include <vector>
 
 #include "configuration_check.h"
 #include "configuration_reader.h"
@@ -24,53 +24,18 @@
          text.compare(text.size() - suffix.size(), suffix.size(), suffix) == 0;
 }
 
-// Reads the files of one directory; keeps a collector for each file.
-class site_reader {
+// Compiles the files of one site; keeps a collector of faults for each file.
+class site_compiler {
  public:
-  explicit site_reader(std::string directory)
-      : directory_(std::move(directory)) {}
-
-  result<site, fault_list> Read() {
-    const std::vector<std::string> files = ListServiceFiles();
-    ReadSiteFile();
-    for (const std::string& file : files)
-      ReadServiceFile(file);
-    CheckConfiguration(site_.compiled, places_);
-    fault_list all = AllFaults();
-    if (!all.empty())
-      return failure(std::move(all));
-    return std::move(site_);
-  }
-
- private:
-  std::vector<std::string> ListServiceFiles() {
-    std::vector<std::string> files;
-    std::error_code error;
-    std::filesystem::recursive_directory_iterator entry(directory_, error);
-    const std::filesystem::recursive_directory_iterator end;
-    while (!error && entry != end) {
-      if (EndsWith(entry->path().filename().string(), kServiceSuffix))
-        files.push_back(entry->path().string());
-      entry.increment(error);
-    }
-    if (error) {
-      Collector(directory_)
-          .Add("$", "cannot be listed: " + error.message(),
-               "name a directory that this user may read");
-    } else if (files.empty()) {
-      Collector(directory_)
-          .Add("$", "holds no service file",
-               "add at least one file whose name ends in .service.json");
-    }
-    std::sort(files.begin(), files.end());
-    return files;
+  fault_collector& Collector(const std::string& file) {
+    return collectors_.emplace_back(file);
   }
 
-  void ReadSiteFile() {
-    const std::filesystem::path directory(directory_);
-    fault_collector& faults = Collector((directory / kSiteFile).string());
+  // Reads site.json; `text` is none if it could not be read.
+  void AddSite(const std::optional<std::string>& text,
+               fault_collector& faults) {
     places_.site = {&faults, "$"};
-    const std::optional<json_value> document = ReadDocument(faults);
+    const std::optional<json_value> document = Parse(text, faults);
     if (!document)
       return;
     object_reader reader(*document, "$", faults);
@@ -79,9 +44,10 @@
     reader.Finish();
   }
 
-  void ReadServiceFile(const std::string& file) {
-    fault_collector& faults = Collector(file);
-    const std::optional<json_value> document = ReadDocument(faults);
+  // Reads a service file; `text` is none if it could not be read.
+  void AddService(const std::optional<std::string>& text,
+                  fault_collector& faults) {
+    const std::optional<json_value> document = Parse(text, faults);
     if (!document)
       return;
     object_reader reader(*document, "$", faults);
@@ -92,8 +58,22 @@
     places_.services.push_back({&faults, "$"});
   }
 
-  std::optional<json_value> ReadDocument(fault_collector& faults) {
-    const std::optional<std::string> text = ReadTextFile(faults.file(), faults);
+  // Checks all files together.
+  result<site, fault_list> Finish() {
+    CheckConfiguration(site_.compiled, places_);
+    fault_list all;
+    for (const fault_collector& collector : collectors_) {
+      all.insert(all.end(), collector.faults().begin(),
+                 collector.faults().end());
+    }
+    if (!all.empty())
+      return failure(std::move(all));
+    return std::move(site_);
+  }
+
+ private:
+  std::optional<json_value> Parse(const std::optional<std::string>& text,
+                                  fault_collector& faults) {
     std::optional<json_value> document;
     if (text)
       document = ParseDocument(*text, faults);
@@ -101,29 +81,59 @@
     return document;
   }
 
-  fault_collector& Collector(const std::string& file) {
-    return collectors_.emplace_back(file);
-  }
-
-  fault_list AllFaults() const {
-    fault_list all;
-    for (const fault_collector& collector : collectors_)
-      all.insert(all.end(), collector.faults().begin(),
-                 collector.faults().end());
-    return all;
-  }
-
-  std::string directory_;
   // A deque keeps the addresses that places_ refers to.
   std::deque<fault_collector> collectors_;
   source_places places_;
   site site_;
 };
 
+// The service files below a directory, in the order of their paths.
+std::vector<std::string> ListServiceFiles(const std::string& directory,
+                                          fault_collector& faults) {
+  std::vector<std::string> files;
+  std::error_code error;
+  std::filesystem::recursive_directory_iterator entry(directory, error);
+  const std::filesystem::recursive_directory_iterator end;
+  while (!error && entry != end) {
+    if (EndsWith(entry->path().filename().string(), kServiceSuffix))
+      files.push_back(entry->path().string());
+    entry.increment(error);
+  }
+  if (error) {
+    faults.Add("$", "cannot be listed: " + error.message(),
+               "name a directory that this user may read");
+  } else if (files.empty()) {
+    faults.Add("$", "holds no service file",
+               "add at least one file whose name ends in .service.json");
+  }
+  std::sort(files.begin(), files.end());
+  return files;
+}
+
 }  // namespace
 
 result<site, fault_list> LoadSite(const std::string& directory) {
-  return site_reader(directory).Read();
+  site_compiler compiler;
+  const std::vector<std::string> files =
+      ListServiceFiles(directory, compiler.Collector(directory));
+  const std::filesystem::path root(directory);
+  fault_collector& site_faults =
+      compiler.Collector((root / kSiteFile).string());
+  compiler.AddSite(ReadTextFile(site_faults.file(), site_faults), site_faults);
+  for (const std::string& file : files) {
+    fault_collector& faults = compiler.Collector(file);
+    compiler.AddService(ReadTextFile(file, faults), faults);
+  }
+  return compiler.Finish();
+}
+
+result<site, fault_list> ParseSite(const site_file& site_json,
+                                   const std::vector<site_file>& services) {
+  site_compiler compiler;
+  compiler.AddSite(site_json.text, compiler.Collector(site_json.name));
+  for (const site_file& file : services)
+    compiler.AddService(file.text, compiler.Collector(file.name));
+  return compiler.Finish();
 }
 
 }  // namespace jasminepath::config
