--- a/packages/report/src/latency_histogram.cc
+++ b/packages/report/src/latency_histogram.cc
@@ -2,7 +2,7 @@
 
 #include <boost/histogram/axis/regular.hpp>
 #include <boost/histogram/histogram.hpp>
-#include <boost/histogram/make_histogram.hpp>
+#include <boost/histogram/unlimited_storage.hpp>
 #include <cmath>
 #include <limits>
 #include <utility>
@@ -19,7 +19,9 @@
 constexpr int64_t kMaxCount = int64_t{1} << 53;
 
 using log_axis = bh::axis::regular<double, bh::axis::transform::log>;
-using counts = bh::histogram<std::tuple<log_axis>, bh::dense_storage<uint64_t>>;
+// Cells begin with one byte each and widen by themselves, since most routes
+// have few calls in a window.
+using counts = bh::histogram<std::tuple<log_axis>, bh::unlimited_storage<>>;
 
 // Indices of the axis run from -1 (below) to kBucketCount (above).
 constexpr int kBelow = -1;
@@ -135,7 +137,7 @@
     if (count == nullptr || *count < 0 || *count > kMaxCount)
       return failure(malformed);
     histogram.storage_->buckets.at(static_cast<int>(*index)) =
-        static_cast<uint64_t>(*count);
+        static_cast<double>(*count);
   }
   return histogram;
 }
--- a/packages/tool/include/jasminepath/tool/node_instance.h
+++ b/packages/tool/include/jasminepath/tool/node_instance.h
@@ -1,12 +1,12 @@
 #ifndef JASMINEPATH_TOOL_NODE_INSTANCE_H_
 #define JASMINEPATH_TOOL_NODE_INSTANCE_H_
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "jasminepath/base/ids.h"
-#include "jasminepath/base/units.h"
 #include "jasminepath/platform/ports.h"
 
 namespace jasminepath::tool {
@@ -19,8 +19,10 @@
   std::string mesh_address;
   std::string caller_address;
   std::string admin_address;
-  // Version of its row: a later instance on the same VM has a higher one.
-  revision registered;
+  // Table version that it read before it registered: of two instances on one
+  // VM, the one with the higher number is the successor. Rows are rewritten
+  // later on, so that their own versions do not tell.
+  int64_t started = 0;
 
   friend bool operator==(const node_instance&, const node_instance&) = default;
 };
--- a/packages/tool/src/node_instance.cc
+++ b/packages/tool/src/node_instance.cc
@@ -19,7 +19,7 @@
   instance.mesh_address = fields.StringOr("mesh_address", "");
   instance.caller_address = fields.StringOr("caller_address", "");
   instance.admin_address = fields.StringOr("admin_address", "");
-  instance.registered = row.version;
+  instance.started = fields.IntegerOr("started", 0);
   if (instance.id.empty() || instance.admin_address.empty())
     return std::nullopt;
   return instance;
@@ -32,9 +32,9 @@
     std::optional<node_instance> instance = ParseInstance(row);
     if (!instance)
       continue;
-    node_instance& known = latest[instance->vm];
-    if (known.registered < instance->registered)
-      known = std::move(*instance);
+    const auto [known, is_first] = latest.try_emplace(instance->vm, *instance);
+    if (!is_first && known->second.started < instance->started)
+      known->second = std::move(*instance);
   }
   std::vector<node_instance> current;
   for (auto& [vm, instance] : latest)
--- a/packages/tool/src/status_command.cc
+++ b/packages/tool/src/status_command.cc
@@ -6,6 +6,7 @@
 #include "commands.h"
 #include "fleet_access.h"
 #include "fleet_query.h"
+#include "fleet_view.h"
 
 namespace jasminepath::tool {
 
@@ -13,30 +14,6 @@
 
 using config::json_value;
 
-std::string Shown(const json_value& status, std::string_view member) {
-  const json_value* value = status.Find(member);
-  if (value == nullptr)
-    return "?";
-  const std::string* text = value->AsString();
-  return text != nullptr ? *text : config::WriteJson(*value);
-}
-
-void WriteNodeLine(const node_answer& answer, std::ostream& out) {
-  out << "vm=" << answer.node.vm << " instance=" << answer.node.id
-      << " zone=" << answer.node.zone;
-  if (!answer.document) {
-    out << " state=unreachable reason=\"" << answer.problem << "\"\n";
-    return;
-  }
-  for (const config::json_member& member : *answer.document->AsObject()) {
-    if (member.name == "vm" || member.name == "instance" ||
-        member.name == "zone")
-      continue;
-    out << ' ' << member.name << '=' << Shown(*answer.document, member.name);
-  }
-  out << '\n';
-}
-
 json_value MergedStatus(const std::vector<node_answer>& answers) {
   json_value nodes{json_value::array()};
   for (const node_answer& answer : answers) {
@@ -79,8 +56,7 @@
   if (options.value().json) {
     streams.out << config::WriteJson(MergedStatus(answers), 2) << '\n';
   } else {
-    for (const node_answer& answer : answers)
-      WriteNodeLine(answer, streams.out);
+    WriteFleetView(answers, streams.out);
   }
   const std::size_t reached = CountReached(answers);
   streams.err << "reached " << reached << " of " << answers.size()
--- a/packages/tool/tests/fact_publisher_test.cc
+++ b/packages/tool/tests/fact_publisher_test.cc
@@ -34,11 +34,13 @@
       Register(std::string("entry-") + name, std::string("run-") + name);
   }
 
-  void Register(const std::string& vm, const std::string& instance) {
+  void Register(const std::string& vm,
+                const std::string& instance,
+                int started = 1) {
     platform.Write("instance/" + instance,
                    "{\"instance\":\"" + instance + "\",\"vm\":\"" + vm +
                        "\",\"zone\":\"a\",\"admin_address\":\"" + instance +
-                       ":1\"}");
+                       ":1\",\"started\":" + std::to_string(started) + "}");
     platform.vms.push_back({vm_id(vm), platform::vm_state::live});
   }
 
@@ -86,7 +88,9 @@
 BOOST_AUTO_TEST_CASE(SuccessorOnTheSameVmStandsForItsPredecessor) {
   test_site site;
   site.nodes.failures_left["run-1:1"] = -1;
-  site.Register("entry-1", "run-1b");
+  site.Register("entry-1", "run-1b", 2);
+  // The predecessor's row is the younger one of the two.
+  site.Register("entry-1", "run-1", 1);
   const fact_report report = site.Publish("v1", revision(0));
   BOOST_TEST(report.spread.nodes.size() == 3);
   BOOST_TEST(report.spread.InForceEverywhere());
