--- a/packages/tool/src/command_line.cc
+++ b/packages/tool/src/command_line.cc
@@ -30,6 +30,8 @@
     command_entry{"status", "", "show the state of every node", RunStatus},
     command_entry{"drain", "", "stop the node of a VM gracefully", RunDrain},
     command_entry{"report", "burn", "show service-level burn", RunReportBurn},
+    command_entry{"replay", "", "replay a trace in virtual time", RunReplay},
+    command_entry{"trace", "make", "make a trace for a site", RunTraceMake},
 };
 
 std::string NameOf(const command_entry& entry) {
--- a/packages/tool/src/commands.h
+++ b/packages/tool/src/commands.h
@@ -25,6 +25,10 @@
                     command_streams streams);
 exit_code RunReportBurn(const command_arguments& arguments,
                         command_streams streams);
+exit_code RunReplay(const command_arguments& arguments,
+                    command_streams streams);
+exit_code RunTraceMake(const command_arguments& arguments,
+                       command_streams streams);
 exit_code RunDrain(const command_arguments& arguments, command_streams streams);
 
 }  // namespace jasminepath::tool
--- a/packages/tool/tests/command_line_test.cc
+++ b/packages/tool/tests/command_line_test.cc
@@ -61,6 +61,12 @@
       {{"key", "give", "--platform", "127.0.0.1:1", "--operator-token-file",
         token},
        "--team TEAM is missing"},
+      {{"replay"}, "the argument TRACE is missing"},
+      {{"replay", "a", "--policy", "best"}, "--policy is none of"},
+      {{"replay", "/nonexistent"}, "/nonexistent"},
+      {{"trace", "make", "a", "--hours", "0"},
+       "--hours is not above 0 and up to 168"},
+      {{"trace", "make", "a", "--faults", "all"}, "--faults is none of"},
       {{"drain", "--platform", "127.0.0.1:1", "--operator-token-file", token},
        "--vm VM is missing"},
       {{"publish", "a", "--operator-token-file", token, "--wait-ms", "x"}, "x"},
@@ -76,6 +82,18 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(MadeTraceIsReplayed) {
+  const std::vector<std::string> make = {"trace", "make", Example("threadwell"),
+                                         "--hours", "0.02"};
+  const run_outcome made = Run(make);
+  BOOST_TEST((made.code == exit_code::done));
+  BOOST_TEST(made.out == Run(make).out);
+  const run_outcome replayed =
+      Run({"replay", Example("traces/order_sent_twice.jsonl"), "--json"});
+  BOOST_TEST((replayed.code == exit_code::done));
+  BOOST_TEST(replayed.out.find("\"violations\"") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(HelpAndVersionSucceed) {
   BOOST_TEST((Run({"--help"}).code == exit_code::done));
   BOOST_TEST((Run({"--version"}).code == exit_code::done));
