--- a/packages/node/src/decision_state.cc
+++ b/packages/node/src/decision_state.cc
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr duration kDemandInterval = Milliseconds(20);
+// Longer than the attempts to record an answer go on.
+constexpr duration kAnswerRetention = Seconds(120);
 
 random_engine Derive(random_engine& source) {
   return random_engine(source());
@@ -26,6 +28,7 @@
                                time_point now)
     : settings_(settings),
       outlets_(outlets),
+      answers_(kAnswerRetention),
       router_(settings.self.zone, Derive(random), decision::routing_limits{}),
       calls_(settings.self.id,
              router_,
@@ -55,6 +58,7 @@
   Placement(
       [&](auto& placement, auto& actions) { placement.OnTick(now, actions); });
   Calls([&](auto& calls, auto& actions) { calls.OnTick(now, actions); });
+  answers_.DropExpired(now);
   AdvanceDrain(now);
   CarryOut(now);
 }
--- a/packages/node/src/decision_state.h
+++ b/packages/node/src/decision_state.h
@@ -9,6 +9,7 @@
 #include <variant>
 #include <vector>
 
+#include "answer_shelf.h"
 #include "call_board.h"
 #include "decision_loop.h"
 #include "drain_sequence.h"
@@ -172,6 +173,7 @@
   const loop_settings settings_;
   const loop_outlets outlets_;
   call_board board_;
+  answer_shelf answers_;
   router_type router_;
   calls_type calls_;
   placement_type placement_;
--- a/packages/node/src/decision_state_calls.cc
+++ b/packages/node/src/decision_state_calls.cc
@@ -73,8 +73,9 @@
 }
 
 void decision_state::On(attempt_ended& event, time_point now) {
-  if (open_call* call = board_.Find(event.id))
-    call->held_answer = std::move(event.held_answer);
+  const open_call* call = board_.Find(event.id);
+  if (call != nullptr && call->keep_answer && event.held_answer)
+    answers_.Keep(event.id, std::move(*event.held_answer), now);
   outlets_.log.Write(log_level::debug, "attempt_ended",
                      {{"request", event.id.value()},
                       {"attempt", event.attempt},
@@ -146,6 +147,7 @@
     return;
   call->team = action.team;
   call->service = action.service;
+  call->keep_answer = action.keep_answer;
   ++call->attempts;
   run_attempt command;
   command.attempt = action.attempt;
@@ -194,8 +196,8 @@
 }
 
 void decision_state::Do(decision::record_answer& action, time_point now) {
-  open_call* call = board_.Find(action.id);
-  if (call == nullptr || !call->held_answer) {
+  const std::string* answer = answers_.Find(action.id);
+  if (answer == nullptr) {
     Calls([&](auto& calls, auto& actions) {
       calls.OnAnswerRecorded(action.id, decision::record_status::unavailable,
                              now, actions);
@@ -203,7 +205,7 @@
     return;
   }
   Submit({{platform_purpose::answer_record, action.object_name, action.id, {}},
-          put_object{action.object_name, *call->held_answer}});
+          put_object{action.object_name, *answer}});
 }
 
 void decision_state::Do(decision::send_admission_message& action, time_point) {
@@ -290,6 +292,8 @@
   const auto& outcome = std::get<put_object::outcome>(reply.outcome);
   const auto status = outcome ? decision::record_status::stored
                               : decision::record_status::failed;
+  if (outcome)
+    answers_.Drop(reply.ticket.call);
   Calls([&](auto& calls, auto& actions) {
     calls.OnAnswerRecorded(reply.ticket.call, status, now, actions);
   });
--- a/packages/node/src/decision_state_fleet.cc
+++ b/packages/node/src/decision_state_fleet.cc
@@ -321,8 +321,8 @@
                                      time_point now) {
   const auto& outcome = std::get<commit_rows::outcome>(reply.outcome);
   Fleet(fleet_.OnInstanceWritten(instance_id(reply.ticket.subject),
-                                 reply.ticket.since,
-                                 EndOf(outcome), VersionOf(outcome), now));
+                                 reply.ticket.since, EndOf(outcome),
+                                 VersionOf(outcome), now));
 }
 
 void decision_state::OnShareCommit(const platform_reply& reply,
--- a/packages/node/tests/node_app_test.cc
+++ b/packages/node/tests/node_app_test.cc
@@ -117,9 +117,9 @@
   http_call right = stock;
   right.headers["X-Api-Key"] = key;
   site.WithdrawLastKey();
-  const auto after = AskUntil(
-      node.caller(), right,
-      [](const http_answer& answer) { return answer.status == 401; });
+  const auto after =
+      AskUntil(node.caller(), right,
+               [](const http_answer& answer) { return answer.status == 401; });
   BOOST_TEST(after.status == 401);
 }
 
@@ -161,9 +161,8 @@
   for (int i = 0; i < kCallers; ++i) {
     callers.emplace_back([&] {
       http_call call = Chat(key, true);
-      call.body =
-          R"({"model":"knots","max_tokens":100,"stream":true,)"
-          R"("messages":[{"role":"user","content":"long"}]})";
+      call.body = R"({"model":"knots","max_tokens":100,"stream":true,)"
+                  R"("messages":[{"role":"user","content":"long"}]})";
       if (Contains(Ask(node.caller(), call).body, "[DONE]"))
         ++whole;
     });
@@ -183,14 +182,13 @@
 BOOST_AUTO_TEST_CASE(OperatorsPagesNeedTheToken) {
   test_site site;
   running_node node(site.Settings("node-0"));
-  BOOST_TEST(Ask(node.admin(), {"GET", "/admin/status", {}, ""}).status ==
-             401);
-  const auto status = Ask(
-      node.admin(),
-      {"GET",
-       "/admin/status",
-       {{"Authorization", std::string("Bearer ") + kOperatorToken}},
-       ""});
+  BOOST_TEST(Ask(node.admin(), {"GET", "/admin/status", {}, ""}).status == 401);
+  const auto status =
+      Ask(node.admin(),
+          {"GET",
+           "/admin/status",
+           {{"Authorization", std::string("Bearer ") + kOperatorToken}},
+           ""});
   BOOST_TEST(status.status == 200);
   BOOST_TEST(Contains(status.body, "\"vm\":\"node-0\""));
 }
--- a/packages/node/tests/test_site.h
+++ b/packages/node/tests/test_site.h
@@ -65,8 +65,9 @@
     for (const char* vm : {"node-0", "node-1", "node-2"})
       vms_ += std::string(vms_.empty() ? "" : ",") + "{\"vm\":\"" + vm +
               "\",\"state\":\"live\"}";
-    vms_ += ",{\"vm\":\"engine-vm\",\"state\":\"live\"}"
-            ",{\"vm\":\"plain-vm\",\"state\":\"live\"}";
+    vms_ +=
+        ",{\"vm\":\"engine-vm\",\"state\":\"live\"}"
+        ",{\"vm\":\"plain-vm\",\"state\":\"live\"}";
     Ask(platform_address(),
         {"POST", "/standin/vms", {}, "{\"vms\":[" + vms_ + "]}"});
     Publish(MakeConfiguration());
@@ -139,10 +140,9 @@
     service.kind = config::service_kind::plain;
     service.endpoints = {{endpoint_id("plain-0"), vm_id("plain-vm"),
                           zone_id("z1"), plain_address(), bytes(0), 0, false}};
-    service.routes = {
-        {"POST", "/orders", false, false, tokens(1), Seconds(10)},
-        {"GET", "/stock", true, false, tokens(1), Seconds(10)},
-        {"GET", "/hours", true, true, tokens(1), Seconds(10)}};
+    service.routes = {{"POST", "/orders", false, false, tokens(1), Seconds(10)},
+                      {"GET", "/stock", true, false, tokens(1), Seconds(10)},
+                      {"GET", "/hours", true, true, tokens(1), Seconds(10)}};
     return service;
   }
 
@@ -184,9 +184,10 @@
 };
 
 // Asks again until the answer satisfies `wanted`, at most about 20 s.
-inline http_answer AskUntil(const std::string& address,
-                            const http_call& call,
-                            const std::function<bool(const http_answer&)>& wanted) {
+inline http_answer AskUntil(
+    const std::string& address,
+    const http_call& call,
+    const std::function<bool(const http_answer&)>& wanted) {
   constexpr int kTries = 200;
   constexpr auto kPause = std::chrono::milliseconds(100);
   http_answer answer;
