--- a/packages/node/src/decision_loop.cc
+++ b/packages/node/src/decision_loop.cc
@@ -20,8 +20,7 @@
                  node_event_ring& events,
                  const loop_outlets& outlets,
                  random_engine random)
-      : events_(events),
-        state_(settings, outlets, std::move(random), boot_clock::now()) {}
+      : events_(events), state_(settings, outlets, random, boot_clock::now()) {}
 
   loop_end Run(const std::atomic<bool>& stop) {
     while (!stop) {
@@ -70,10 +69,9 @@
                              node_event_ring& events,
                              const loop_outlets& outlets,
                              random_engine random)
-    : implementation_(std::make_unique<implementation>(settings,
-                                                       events,
-                                                       outlets,
-                                                       std::move(random))) {}
+    : implementation_(
+          std::make_unique<implementation>(settings, events, outlets, random)) {
+}
 
 decision_loop::~decision_loop() = default;
 
--- a/packages/node/src/platform_throttle.cc
+++ b/packages/node/src/platform_throttle.cc
@@ -19,7 +19,7 @@
 }  // namespace
 
 platform_throttle::platform_throttle(random_engine random, time_point now)
-    : breaker_(platform::circuit_breaker_limits{}, std::move(random)),
+    : breaker_(platform::circuit_breaker_limits{}, random),
       reads_(platform::kTableReadRate, now),
       writes_(platform::kTableWriteRate, now) {}
 
