Let a refused call return to its endpoint; keep a replica for at least its load time

Cause: under load the end-to-end test of a cold model hung to its deadline in 4 of 24 runs. The log showed both reasons: a model seen once was kept for 0 s (the costs of keeping for the break-even time and of not keeping were equal), so it was unloaded 3 ms after its first call; and the next call, which the engine had refused as not resident, then waited for another endpoint, since the only one was on its list of endpoints to avoid. Change: a refusal by the endpoint does not put it on that list, nor does a cut stream that is resumed, which goes back to the engine that began it; the adaptive policy never keeps a replica for less than its load time.

--- a/packages/decision/include/jasminepath/decision/admission/call_coordinator_impl.h
+++ b/packages/decision/include/jasminepath/decision/admission/call_coordinator_impl.h
@@ -785,9 +785,13 @@
     time_point now,
     action_list& actions) {
   ++retry_count_;
-  call.avoid.push_back(call.endpoint);
   call.resume_position =
       call.relayed > bytes(0) ? call.last_report.resume_position : std::nullopt;
+  // An endpoint that refused may serve the call later, for example when its
+  // model is loaded again; a stream is resumed where it began.
+  const bool refused = call.last_report.end == attempt_end::refused;
+  if (!refused && !call.resume_position)
+    call.avoid.push_back(call.endpoint);
   Enqueue(call, now, actions);
 }
 
--- a/packages/decision/src/placement/keep_warm.cc
+++ b/packages/decision/src/placement/keep_warm.cc
@@ -105,7 +105,9 @@
     longer += weight;
   double shorter_seconds = 0;
   bool prior_counted = false;
-  double best_timeout = 0;
+  // A replica that is kept for less than its own load time would spend more
+  // time loading than serving.
+  double best_timeout = ToSeconds(price.cold_start);
   double best_cost = longer * cold;
   for (int i = 0; i < kGapClasses; ++i) {
     const double timeout = ClassEnd(i);
@@ -123,7 +125,7 @@
     if (cost >= best_cost)
       continue;
     best_cost = cost;
-    best_timeout = timeout;
+    best_timeout = std::max(timeout, ToSeconds(price.cold_start));
   }
   return FromSeconds(best_timeout);
 }
--- a/packages/decision/tests/admission/call_coordinator_test.cc
+++ b/packages/decision/tests/admission/call_coordinator_test.cc
@@ -184,6 +184,13 @@
   BOOST_TEST(Seen<finish_call>().size() == 1u);
 }
 
+BOOST_AUTO_TEST_CASE(CallThatAnEndpointRefusedMayReturnThere) {
+  Arrive(ModelCall("r1"));
+  EndAttempt("r1", Failed(attempt_end::refused, run_state::not_run));
+  BOOST_REQUIRE(Seen<dispatch_call>().size() == 1u);
+  BOOST_TEST((Seen<dispatch_call>()[0].endpoint == endpoint_id("e0")));
+}
+
 BOOST_AUTO_TEST_CASE(NonIdempotentCallIsNotSentTwice) {
   Arrive(RouteCall("r1", "POST", "/orders"));
   EndAttempt("r1", Failed(attempt_end::cut, run_state::unknown));
--- a/packages/node/src/call_board.h
+++ b/packages/node/src/call_board.h
@@ -24,6 +24,7 @@
   // The attempt that began the answer's stream, and where it ran.
   int64_t stream_attempt = 0;
   endpoint_id stream_endpoint;
+  std::string stream_address;
   // Whether the whole answer has to be kept for recording.
   bool keep_answer = false;
   int64_t attempts = 0;
--- a/packages/node/src/decision_state_calls.cc
+++ b/packages/node/src/decision_state_calls.cc
@@ -161,9 +161,13 @@
   if (action.resume_position) {
     command.resumed_attempt = call->stream_attempt;
     command.resume_from = *action.resume_position;
+    // Only the engine that began a stream can go on with it.
+    command.endpoint = call->stream_endpoint;
+    command.address = call->stream_address;
   } else {
     call->stream_attempt = action.attempt;
     call->stream_endpoint = action.endpoint;
+    call->stream_address = action.address;
   }
   outlets_.log.Write(log_level::debug, "call_dispatched",
                      {{"request", action.id.value()},
