Learn idle gaps only from idle gaps

Cause: the adaptive keep-warm time was 0 after a first arrival and 1.3 s after a burst, at every price: the assumed gap cost exactly as much to keep as to miss, and the calls of one burst were counted as short gaps. Change: gaps under a second are not counted; one gap of half the break-even time is assumed until idle gaps of weight 3 are known; a replica stays for at least half its load time.

--- a/packages/decision/src/placement/keep_warm.cc
+++ b/packages/decision/src/placement/keep_warm.cc
@@ -14,10 +14,15 @@
 constexpr double kClassGrowth = 1.3;
 // Weight that an observation keeps with each further one.
 constexpr double kMemory = 0.95;
-// Weights of two assumed earlier gaps: one as long as the break-even time, and
-// one longer than any timeout.
-constexpr double kPriorWeight = 0.5;
-constexpr double kLongPriorWeight = 0.5;
+// One gap is assumed until enough idle gaps have been seen. It is half the
+// break-even time, so that keeping a model over it costs half a cold start: a
+// model that has been seen in one burst only is kept.
+constexpr double kAssumedGapWeight = 1.0;
+constexpr double kAssumedGapOfBreakEven = 0.5;
+// Weight of idle gaps that replaces the assumption.
+constexpr double kKnownGapWeight = 3.0;
+// A replica stays at least for this part of its own load time.
+constexpr double kLeastKeepOfLoadTime = 0.5;
 
 int GapClass(double seconds, int classes) {
   if (seconds <= kSmallestGapSeconds)
@@ -74,6 +79,11 @@
   history& past = found->second;
   if (!first) {
     const double gap = ToSeconds(now - past.last_arrival);
+    // Calls of one burst say nothing about idle times.
+    if (gap < kSmallestGapSeconds) {
+      past.last_arrival = now;
+      return;
+    }
     const int gap_class = GapClass(gap, kGapClasses);
     for (int i = 0; i < kGapClasses; ++i) {
       past.weight[i] *= kMemory;
@@ -97,17 +107,21 @@
                              static_cast<double>(price.accelerators) /
                              kSecondsPerHour;
   const double cold = price.cold_start_second * ToSeconds(price.cold_start);
-  const double prior_gap = ToSeconds(break_even);
+  const double prior_gap = kAssumedGapOfBreakEven * ToSeconds(break_even);
   // Gaps shorter than a timeout cost their own idle time; longer ones cost the
   // timeout's idle time and a cold start.
-  double longer = kPriorWeight + kLongPriorWeight;
-  for (const double weight : past.weight)
-    longer += weight;
+  const double least = kLeastKeepOfLoadTime * ToSeconds(price.cold_start);
+  double longer = 0;
+  double idle_gaps = 0;
+  for (int i = 0; i < kGapClasses; ++i) {
+    longer += past.weight[i];
+    idle_gaps += ClassEnd(i) > least ? past.weight[i] : 0;
+  }
+  const double assumed = idle_gaps >= kKnownGapWeight ? 0 : kAssumedGapWeight;
+  longer += assumed;
   double shorter_seconds = 0;
   bool prior_counted = false;
-  // A replica that is kept for less than its own load time would spend more
-  // time loading than serving.
-  double best_timeout = ToSeconds(price.cold_start);
+  double best_timeout = least;
   double best_cost = longer * cold;
   for (int i = 0; i < kGapClasses; ++i) {
     const double timeout = ClassEnd(i);
@@ -117,15 +131,15 @@
     shorter_seconds += past.seconds[i];
     if (!prior_counted && prior_gap <= timeout) {
       prior_counted = true;
-      longer -= kPriorWeight;
-      shorter_seconds += kPriorWeight * prior_gap;
+      longer -= assumed;
+      shorter_seconds += assumed * prior_gap;
     }
     const double cost =
         idle_second * (shorter_seconds + longer * timeout) + longer * cold;
     if (cost >= best_cost)
       continue;
     best_cost = cost;
-    best_timeout = std::max(timeout, ToSeconds(price.cold_start));
+    best_timeout = std::max(timeout, least);
   }
   return FromSeconds(best_timeout);
 }
--- a/packages/decision/tests/placement/keep_warm_test.cc
+++ b/packages/decision/tests/placement/keep_warm_test.cc
@@ -5,6 +5,25 @@
 namespace jasminepath::decision {
 namespace {
 
+// A price at which idling costs a cold start after ten load times.
+keep_warm_price TenLoadTimes() {
+  keep_warm_price price;
+  price.cold_start = Seconds(60);
+  price.idle_accelerator_hour = 360;
+  return price;
+}
+
+BOOST_AUTO_TEST_CASE(BurstOfCallsIsNotTakenForTheGapBetweenBursts) {
+  adaptive_timeout policy;
+  time_point now{Seconds(1000)};
+  for (int i = 0; i < 30; ++i) {
+    policy.OnArrivals(model_id("knots"), 1, now);
+    now += Milliseconds(100);
+  }
+  const duration keep = policy.KeepFor(model_id("knots"), TenLoadTimes(), now);
+  BOOST_TEST((keep >= Seconds(300)));
+}
+
 BOOST_AUTO_TEST_CASE(ModelSeenOnceIsKeptAtLeastForItsLoadTime) {
   adaptive_timeout policy;
   keep_warm_price price;
