Close mesh sockets away from the thread that lets go of them

Change: the receive is stopped and the listener closed in place; the socket itself is closed on a thread of its own. Conclusion: an address is free again when its link set is gone; a close that blocks costs one idle thread.

--- a/packages/mesh/src/pull_listener.cc
+++ b/packages/mesh/src/pull_listener.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "jasminepath/mesh/message_codec.h"
+#include "socket_closer.h"
 
 namespace jasminepath::mesh {
 
@@ -29,12 +30,11 @@
   if (!allocated ||
       nng_socket_set_size(socket_, NNG_OPT_RECVMAXSZ, kMaxEnvelopeBytes) != 0)
     return mesh_error::no_resources;
-  nng_listener listener = NNG_LISTENER_INITIALIZER;
   const std::string url = "tcp://" + address;
-  if (nng_listen(socket_, url.c_str(), &listener, 0) != 0)
+  if (nng_listen(socket_, url.c_str(), &listener_, 0) != 0)
     return mesh_error::bad_address;
   int port = 0;
-  if (nng_listener_get_int(listener, NNG_OPT_TCP_BOUND_PORT, &port) != 0)
+  if (nng_listener_get_int(listener_, NNG_OPT_TCP_BOUND_PORT, &port) != 0)
     return mesh_error::bad_address;
   address_ = address.substr(0, address.rfind(':') + 1) + std::to_string(port);
   opened = true;
@@ -42,12 +42,16 @@
 }
 
 pull_listener::~pull_listener() {
-  if (nng_socket_id(socket_) > 0)
-    nng_close(socket_);
+  // Once the receive has stopped no message is handed on any more.
   if (aio_) {
     nng_aio_stop(aio_);
     nng_aio_free(aio_);
   }
+  // The address is free again when this returns.
+  if (nng_listener_id(listener_) > 0)
+    nng_listener_close(listener_);
+  if (nng_socket_id(socket_) > 0)
+    CloseInBackground(socket_);
 }
 
 void pull_listener::ReceiveNext() {
--- a/packages/mesh/src/pull_listener.h
+++ b/packages/mesh/src/pull_listener.h
@@ -40,6 +40,7 @@
 
   message_handler on_message_;
   std::string address_;
+  nng_listener listener_ = NNG_LISTENER_INITIALIZER;
   nng_socket socket_ = NNG_SOCKET_INITIALIZER;
   nng_aio* aio_ = nullptr;
 };
--- a/packages/mesh/src/push_link.cc
+++ b/packages/mesh/src/push_link.cc
@@ -4,6 +4,8 @@
 
 #include <utility>
 
+#include "socket_closer.h"
+
 namespace jasminepath::mesh {
 namespace {
 
@@ -42,7 +44,7 @@
 
 push_link::~push_link() {
   if (nng_socket_id(socket_) > 0)
-    nng_close(socket_);
+    CloseInBackground(socket_);
 }
 
 bool push_link::Send(const std::string& bytes) {
