--- a/packages/decision/include/jasminepath/decision/fleet/messages.h
+++ b/packages/decision/include/jasminepath/decision/fleet/messages.h
@@ -60,6 +60,8 @@
   // through others; none if never.
   std::optional<duration> platform_age;
   std::vector<silent_report> silent;
+  // Whether the sender chose this link; one chosen by neither end is dropped.
+  bool chosen = false;
 
   friend bool operator==(const heartbeat_message&,
                          const heartbeat_message&) = default;
--- a/packages/decision/include/jasminepath/decision/fleet/peer_links.h
+++ b/packages/decision/include/jasminepath/decision/fleet/peer_links.h
@@ -29,8 +29,7 @@
 };
 
 // The links of one instance, with the numbering of their heartbeats. A link is
-// kept while it is chosen or while its peer keeps sending, so that both ends of
-// a link chosen by either hear each other.
+// kept while either end chooses it, so that both ends hear each other.
 class peer_links {
  public:
   explicit peer_links(fleet_limits limits);
@@ -38,10 +37,10 @@
   // Sets the links chosen by this instance. Returns whether the set of links
   // has changed.
   bool Choose(const std::vector<peer_link>& chosen, time_point now);
-  // Something came from `peer`: keeps or opens a link to it. Returns whether
+  // Something came from `peer`: opens a link to it for a while. Returns whether
   // the set of links has changed.
   bool OnHeard(const peer_link& peer, time_point now);
-  // Drops links that are neither chosen nor heard. Returns whether any was.
+  // Drops links that neither end has chosen of late. Returns whether any was.
   bool DropIdle(time_point now);
   // Drops the link at once.
   bool Drop(const instance_id& peer);
@@ -88,6 +87,8 @@
     bool chosen = false;
     time_point opened_at{};
     time_point heard_at{};
+    // When the peer last said that it chose the link.
+    time_point chosen_by_peer_at{};
     time_point confirmed_at{};
     time_point redialled_at{};
     int64_t sent_sequence = 0;
--- a/packages/decision/src/fleet/peer_links.cc
+++ b/packages/decision/src/fleet/peer_links.cc
@@ -15,6 +15,7 @@
   made.chosen = chosen;
   made.opened_at = now;
   made.heard_at = now;
+  made.chosen_by_peer_at = now;
   made.confirmed_at = now;
   made.redialled_at = now;
   return made;
@@ -60,7 +61,8 @@
 bool peer_links::DropIdle(time_point now) {
   const std::size_t dropped = std::erase_if(links_, [&](const auto& entry) {
     const link& known = entry.second;
-    return !known.chosen && now - known.heard_at > limits_.suspect_after;
+    return !known.chosen &&
+           now - known.chosen_by_peer_at > limits_.suspect_after;
   });
   return dropped > 0;
 }
@@ -78,6 +80,8 @@
     return receipt;
   link& known = found->second;
   known.heard_at = now;
+  if (heartbeat.chosen)
+    known.chosen_by_peer_at = now;
   known.received_sequence =
       std::max(known.received_sequence, heartbeat.sequence);
   known.unknown_to_peer = heartbeat.echo == 0;
@@ -101,6 +105,7 @@
   link& known = found->second;
   heartbeat.sequence = ++known.sent_sequence;
   heartbeat.echo = known.received_sequence;
+  heartbeat.chosen = known.chosen;
   const auto slot =
       static_cast<std::size_t>(heartbeat.sequence) % kRememberedHeartbeats;
   known.sent[slot] = {.sequence = heartbeat.sequence, .at = now};
--- a/packages/decision/tests/fleet/fleet_history_test.cc
+++ b/packages/decision/tests/fleet/fleet_history_test.cc
@@ -15,6 +15,7 @@
 constexpr int kTeams = 2;
 constexpr int kFactKeys = 3;
 constexpr duration kSpreadTime = Seconds(4);
+constexpr duration kDrainTime = Seconds(10);
 // The longest lag of the VM list, its confirmation, and the longest waits
 // before a retry at a platform that has come back.
 constexpr duration kRecoveryTime = Seconds(90);
@@ -130,6 +131,9 @@
           TakeStep(world, step);
         RC_ASSERT(Holds(world, true, ""));
         world.Heal();
+        world.Run(kDrainTime);
+        // Restarts those that ended while they drained.
+        world.Heal();
         world.Start(0);
         world.Run(kRecoveryTime);
         RC_ASSERT(Holds(world, world.AllReady(), "all are ready"));
--- a/packages/decision/tests/fleet/fleet_world.h
+++ b/packages/decision/tests/fleet/fleet_world.h
@@ -9,6 +9,7 @@
 #include <queue>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jasminepath/base/boot_time.h"
@@ -53,6 +54,15 @@
   void Run(duration span);
 
   world_faults& faults() { return faults_; }
+  // For measurements: sees every message that is sent.
+  void set_message_observer(
+      std::function<void(const send_fleet_message&)> observer) {
+    message_observer_ = std::move(observer);
+  }
+  // For measurements: leaves out the oracle, whose cost grows with the fleet.
+  void set_checks(bool checks) { checks_ = checks; }
+  // Bytes added to the value of every fact; call before the first commit.
+  void set_fact_padding(std::size_t bytes) { fact_padding_ = bytes; }
   // Ends all faults, continues paused processes and restarts dead ones on VMs
   // that are there.
   void Heal();
@@ -110,6 +120,7 @@
   };
 
   machine& At(int vm);
+  std::string ValueAt(revision version) const;
   void List(int vm);
   bool Chance(double probability);
   duration Delay(int64_t least_ms, int64_t most_ms);
@@ -162,6 +173,9 @@
   int64_t reads_ = 0;
   int64_t writes_ = 0;
   int64_t messages_ = 0;
+  std::function<void(const send_fleet_message&)> message_observer_;
+  bool checks_ = true;
+  std::size_t fact_padding_ = 0;
 };
 
 }  // namespace jasminepath::decision
--- a/packages/mesh/src/message_fields.h
+++ b/packages/mesh/src/message_fields.h
@@ -27,7 +27,7 @@
 template <>
 inline constexpr std::size_t kFieldCount<decision::silent_report> = 2;
 template <>
-inline constexpr std::size_t kFieldCount<decision::heartbeat_message> = 6;
+inline constexpr std::size_t kFieldCount<decision::heartbeat_message> = 7;
 template <>
 inline constexpr std::size_t kFieldCount<decision::row_request> = 3;
 template <typename Value>
--- a/packages/mesh/tests/message_codec_test.cc
+++ b/packages/mesh/tests/message_codec_test.cc
@@ -17,6 +17,7 @@
                      .hash = 0xffff'ffff'ffff'fff0ULL};
   heartbeat.platform_age = Milliseconds(250);
   heartbeat.silent = {{.instance = instance_id("x"), .hops = 2}};
+  heartbeat.chosen = true;
   return {.from = instance_id("a"),
           .to = instance_id("b"),
           .sequence = 3,
