Keep the rendezvous choices of VMs between changes of the peers

Change: hashes of members are kept, choices are made again only when peers, the VM list or the configuration change, and models of a service share the list.

--- a/packages/decision/src/placement/model_decider.cc
+++ b/packages/decision/src/placement/model_decider.cc
@@ -86,7 +86,7 @@
   if (view == nullptr)
     return price;
   price.cold_start = view->model.remote_load;
-  for (const vm_id& vm : view->vms) {
+  for (const vm_id& vm : *view->vms) {
     const vm_view* host = site.FindVm(vm);
     if (host == nullptr || host->gone)
       continue;
@@ -260,7 +260,7 @@
 void model_decider::SyncSlots(const decider_context& context) {
   const model_view* view = context.site.FindModel(model_);
   if (view != nullptr) {
-    for (const vm_id& vm : view->vms) {
+    for (const vm_id& vm : *view->vms) {
       if (!context.site.Gone(vm))
         slots_.try_emplace(vm);
     }
--- a/packages/decision/src/placement/placement_state.cc
+++ b/packages/decision/src/placement/placement_state.cc
@@ -3,8 +3,6 @@
 #include <algorithm>
 #include <utility>
 
-#include "placement/rendezvous.h"
-
 namespace jasminepath::decision {
 
 namespace {
@@ -37,6 +35,7 @@
       owner_of_([this](const vm_id& vm) { return OwnerOf(vm); }),
       decider_of_([this](const model_id& model) { return DeciderOf(model); }) {
   peers_.insert(self_);
+  MembersChanged();
 }
 
 void placement_core::state::Begin(time_point now, action_list& actions) {
@@ -52,6 +51,7 @@
   site_.OnConfiguration(source);
   gate_.SetLimits(source.store);
   configured_ = true;
+  GatherCandidacies();
   ConsiderVms();
   MarkAll();
 }
@@ -96,19 +96,22 @@
 void placement_core::state::OnPeers(const std::vector<instance_id>& live) {
   std::set<instance_id> peers(live.begin(), live.end());
   peers.insert(self_);
+  bool changed = peers != peers_;
   for (const instance_id& peer : peers) {
-    suspected_.erase(peer);
+    changed = suspected_.erase(peer) > 0 || changed;
     absent_since_.erase(peer);
   }
-  if (peers == peers_)
+  if (!changed)
     return;
   peers_ = std::move(peers);
+  MembersChanged();
   ConsiderVms();
   MarkAll();
 }
 
 void placement_core::state::OnInstanceEnded(const instance_id& instance) {
-  ended_.insert(instance);
+  if (!ended_.insert(instance).second)
+    return;
   suspected_.erase(instance);
   absent_since_.erase(instance);
   gate_.OnInstanceEnded(instance);
@@ -116,6 +119,7 @@
     if (entry.decider)
       entry.decider->OnInstanceEnded(instance);
   }
+  MembersChanged();
   ConsiderVms();
   MarkAll();
 }
@@ -123,18 +127,22 @@
 void placement_core::state::OnInstanceSuspected(const instance_id& instance) {
   if (Ended(instance) || instance == self_)
     return;
-  suspected_.insert(instance);
+  if (!suspected_.insert(instance).second)
+    return;
+  MembersChanged();
   ConsiderVms();
   MarkAll();
 }
 
 void placement_core::state::OnVmList(const std::vector<vm_id>& live,
                                      const std::vector<vm_id>& leaving) {
-  site_.OnVmList(live, leaving, limits_.vm_list_lag, now_);
+  if (!site_.OnVmList(live, leaving, limits_.vm_list_lag, now_))
+    return;
   for (auto& [vm, entry] : vms_) {
     if (site_.Gone(vm) && entry.owner)
       DropOwner(entry);
   }
+  GatherCandidacies();
   ConsiderVms();
   MarkAll();
 }
@@ -194,6 +202,7 @@
 
 void placement_core::state::OnDrain() {
   draining_ = true;
+  MembersChanged();
   for (auto& [vm, entry] : vms_) {
     if (entry.owner)
       DropOwner(entry);
@@ -385,16 +394,28 @@
          !suspected_.contains(instance);
 }
 
-std::set<instance_id> placement_core::state::Unavailable() const {
-  std::set<instance_id> unavailable = suspected_;
-  unavailable.insert(ended_.begin(), ended_.end());
-  if (draining_)
-    unavailable.insert(self_);
-  return unavailable;
+void placement_core::state::MembersChanged() {
+  std::vector<instance_id> members;
+  for (const instance_id& peer : peers_) {
+    if (Available(peer))
+      members.push_back(peer);
+  }
+  members_.SetMembers(members);
+  GatherCandidacies();
+}
+
+void placement_core::state::GatherCandidacies() {
+  candidacies_.clear();
+  for (const auto& [vm, view] : site_.vms()) {
+    if (view.gone || view.leaving)
+      continue;
+    if (Candidate("vm/" + vm.value()) == self_)
+      candidacies_.push_back(vm);
+  }
 }
 
 instance_id placement_core::state::Candidate(const std::string& key) const {
-  return RendezvousChoice(key, peers_, Unavailable());
+  return members_.Choose(key);
 }
 
 instance_id placement_core::state::OwnerOf(const vm_id& vm) const {
@@ -492,15 +513,14 @@
 void placement_core::state::ConsiderVms() {
   if (!configured_ || draining_)
     return;
-  for (const auto& [vm, view] : site_.vms()) {
-    if (view.gone || view.leaving)
-      continue;
+  for (const vm_id& vm : candidacies_) {
     const auto found = vms_.find(vm);
-    if (found != vms_.end() &&
-        (found->second.claim.held() || Available(found->second.claim.holder())))
-      continue;
-    if (Candidate("vm/" + vm.value()) == self_)
-      ConsiderVm(vm);
+    if (found != vms_.end()) {
+      const authority_claim& claim = found->second.claim;
+      if (claim.held() || Available(claim.holder()))
+        continue;
+    }
+    ConsiderVm(vm);
   }
 }
 
--- a/packages/decision/src/placement/placement_state.h
+++ b/packages/decision/src/placement/placement_state.h
@@ -13,6 +13,7 @@
 
 #include "jasminepath/decision/placement/placement_core.h"
 #include "placement/model_decider.h"
+#include "placement/rendezvous.h"
 #include "placement/site_view.h"
 #include "placement/store_gate.h"
 #include "placement/vm_owner.h"
@@ -110,7 +111,10 @@
   instance_id DeciderOf(const model_id& model) const;
   instance_id StoreGate() const;
   void NoteAbsentHolder(const instance_id& holder);
-  std::set<instance_id> Unavailable() const;
+  // The members of the rendezvous hash have changed.
+  void MembersChanged();
+  // The VMs that this node would own have changed.
+  void GatherCandidacies();
 
   void Send(const instance_id& to, placement_message message);
   void SendNotice(const instance_id& to, const authority_claim& claim);
@@ -170,6 +174,10 @@
   std::set<instance_id> peers_;
   std::set<instance_id> suspected_;
   std::set<instance_id> ended_;
+  // Over the available instances.
+  rendezvous members_;
+  // VMs whose candidate is this node.
+  std::vector<vm_id> candidacies_;
   std::map<instance_id, time_point> absent_since_;
   std::map<vm_id, vm_entry> vms_;
   std::map<model_id, model_entry> models_;
--- a/packages/decision/src/placement/rendezvous.cc
+++ b/packages/decision/src/placement/rendezvous.cc
@@ -1,31 +1,39 @@
 #include "placement/rendezvous.h"
 
-#include <cstdint>
-#include <string>
-
 #include "jasminepath/base/digest.h"
 
 namespace jasminepath::decision {
 
-instance_id RendezvousChoice(std::string_view key,
-                             const std::set<instance_id>& candidates,
-                             const std::set<instance_id>& excluded) {
-  instance_id best;
-  uint64_t best_hash = 0;
-  std::string text;
-  for (const instance_id& candidate : candidates) {
-    if (excluded.contains(candidate))
-      continue;
-    text.assign(key);
-    text += '|';
-    text += candidate.value();
-    const uint64_t hash = StableHash(text);
-    if (!best.empty() && hash <= best_hash)
+namespace {
+
+// Mixes the hashes of a key and a member (the finalizer of SplitMix64).
+uint64_t Mix(uint64_t key, uint64_t member) {
+  uint64_t value = key ^ member;
+  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+  return value ^ (value >> 31);
+}
+
+}  // namespace
+
+void rendezvous::SetMembers(const std::vector<instance_id>& members) {
+  members_.clear();
+  for (const instance_id& id : members)
+    members_.push_back({id, StableHash(id.value())});
+}
+
+const instance_id& rendezvous::Choose(std::string_view key) const {
+  const uint64_t key_hash = StableHash(key);
+  const member* best = nullptr;
+  uint64_t best_score = 0;
+  for (const member& entry : members_) {
+    const uint64_t score = Mix(key_hash, entry.hash);
+    if (best != nullptr && score <= best_score)
       continue;
-    best = candidate;
-    best_hash = hash;
+    best = &entry;
+    best_score = score;
   }
-  return best;
+  return best == nullptr ? nobody_ : best->id;
 }
 
 }  // namespace jasminepath::decision
--- a/packages/decision/src/placement/rendezvous.h
+++ b/packages/decision/src/placement/rendezvous.h
@@ -1,18 +1,31 @@
 #ifndef JASMINEPATH_DECISION_SRC_PLACEMENT_RENDEZVOUS_H_
 #define JASMINEPATH_DECISION_SRC_PLACEMENT_RENDEZVOUS_H_
 
-#include <set>
+#include <cstdint>
 #include <string_view>
+#include <vector>
 
 #include "jasminepath/base/ids.h"
 
 namespace jasminepath::decision {
 
-// The instance with the highest hash of `key` and its id, leaving out
-// `excluded`; empty if none is left. All nodes with the same view agree.
-instance_id RendezvousChoice(std::string_view key,
-                             const std::set<instance_id>& candidates,
-                             const std::set<instance_id>& excluded);
+// Rendezvous hashing: assigns each key to one of the members. All nodes with
+// the same members agree, and a member that leaves moves its own keys only.
+class rendezvous {
+ public:
+  void SetMembers(const std::vector<instance_id>& members);
+  // The key's member; empty if there are none.
+  const instance_id& Choose(std::string_view key) const;
+
+ private:
+  struct member {
+    instance_id id;
+    uint64_t hash = 0;
+  };
+
+  std::vector<member> members_;
+  instance_id nobody_;
+};
 
 }  // namespace jasminepath::decision
 
--- a/packages/decision/src/placement/site_view.cc
+++ b/packages/decision/src/placement/site_view.cc
@@ -27,17 +27,21 @@
       members.push_back(endpoint.vm);
       vms[endpoint.vm] = std::move(view);
     }
+    const auto shared =
+        std::make_shared<const std::vector<vm_id>>(std::move(members));
     for (const config::model& model : service.models)
       models_[model.id] = {model, service.id, service.endpoint_concurrency,
-                           members};
+                           shared};
   }
   vms_ = std::move(vms);
 }
 
-void site_view::OnVmList(const std::vector<vm_id>& live,
+bool site_view::OnVmList(const std::vector<vm_id>& live,
                          const std::vector<vm_id>& leaving,
                          duration list_lag,
                          time_point now) {
+  const std::set<vm_id> leaving_before = leaving_;
+  const std::set<vm_id> gone_before = gone_;
   std::set<vm_id> listed(live.begin(), live.end());
   listed.insert(leaving.begin(), leaving.end());
   for (const vm_id& vm : listed_) {
@@ -61,6 +65,7 @@
     view.leaving = leaving_.contains(vm);
     view.gone = gone_.contains(vm);
   }
+  return leaving_ != leaving_before || gone_ != gone_before;
 }
 
 const vm_view* site_view::OnStatus(const endpoint_status& status,
--- a/packages/decision/src/placement/site_view.h
+++ b/packages/decision/src/placement/site_view.h
@@ -36,7 +36,8 @@
   config::model model;
   service_id service;
   int64_t endpoint_concurrency = 1;
-  std::vector<vm_id> vms;
+  // The same list for every model of the service.
+  std::shared_ptr<const std::vector<vm_id>> vms;
 };
 
 // Configuration, VM list and engine statuses, indexed for placement. A VM runs
@@ -47,7 +48,9 @@
   // A VM has ended when it leaves the list, or when a configured one has been
   // missing from it since `list_lag` ago: it ended before this node began, or
   // it has not started yet.
-  void OnVmList(const std::vector<vm_id>& live,
+  // Returns whether a VM leaves or has ended that did not before, or the other
+  // way round.
+  bool OnVmList(const std::vector<vm_id>& live,
                 const std::vector<vm_id>& leaving,
                 duration list_lag,
                 time_point now);
