Wire the burn report, the metrics and the order's incarnation into the node

Cause: nodes counted calls only; the burn report had nothing to read, and an order that was meant for one run of an engine was sent to whatever run answered.

--- a/packages/node/src/call_board.h
+++ b/packages/node/src/call_board.h
@@ -21,6 +21,8 @@
   std::optional<time_point> first_byte;
   team_id team;
   service_id service;
+  // The model, or "METHOD prefix" of a plain service's route.
+  std::string route;
   // The attempt that began the answer's stream, and where it ran.
   int64_t stream_attempt = 0;
   endpoint_id stream_endpoint;
--- a/packages/node/src/call_outcome.h
+++ b/packages/node/src/call_outcome.h
@@ -2,6 +2,7 @@
 #define JASMINEPATH_NODE_CALL_OUTCOME_H_
 
 #include <optional>
+#include <string>
 
 #include "jasminepath/base/boot_time.h"
 #include "jasminepath/base/ids.h"
@@ -13,6 +14,8 @@
 struct call_outcome {
   team_id team;
   service_id service;
+  // The model, or "METHOD prefix" of a plain service's route.
+  std::string route;
   // Nothing if the caller got a whole answer.
   std::optional<refusal_code> refused;
   // From the arrival to the endpoint's first byte.
--- a/packages/node/src/decision_loop.h
+++ b/packages/node/src/decision_loop.h
@@ -2,7 +2,6 @@
 #define JASMINEPATH_NODE_DECISION_LOOP_H_
 
 #include <atomic>
-#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -19,9 +18,9 @@
 
 namespace jasminepath::node {
 
-struct call_outcome;
 class endpoint_poller;
 class event_log;
+class node_metrics;
 class node_view;
 class order_duty;
 class platform_gateway;
@@ -44,8 +43,7 @@
   platform_throttle& throttle;
   order_duty& orders;
   endpoint_poller& poller;
-  // Told how each call ended.
-  std::function<void(const call_outcome&)> record;
+  node_metrics& metrics;
 };
 
 // How the loop ended.
--- a/packages/node/src/decision_state.cc
+++ b/packages/node/src/decision_state.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "event_log.h"
+#include "node_metrics.h"
 #include "node_view.h"
 #include "platform_gateway.h"
 #include "platform_throttle.h"
@@ -12,6 +13,7 @@
 namespace jasminepath::node {
 namespace {
 
+constexpr duration kWindowSaveInterval = Seconds(300);
 constexpr duration kDemandInterval = Milliseconds(20);
 // Longer than the attempts to record an answer go on.
 constexpr duration kAnswerRetention = Seconds(120);
@@ -59,6 +61,7 @@
       [&](auto& placement, auto& actions) { placement.OnTick(now, actions); });
   Calls([&](auto& calls, auto& actions) { calls.OnTick(now, actions); });
   answers_.DropExpired(now);
+  SaveWindows(now);
   AdvanceDrain(now);
   CarryOut(now);
 }
@@ -179,6 +182,20 @@
   });
 }
 
+// The first save comes an interval after the start; a stop saves the rest.
+void decision_state::SaveWindows(time_point now) {
+  const bool first = save_due_ == time_point();
+  const bool due = !first && now >= save_due_;
+  if (first || due)
+    save_due_ = now + kWindowSaveInterval;
+  if (!due)
+    return;
+  for (report::stored_windows& windows : outlets_.metrics.TakeChanged()) {
+    Submit({{platform_purpose::window_save, windows.name, {}, {}},
+            put_object{windows.name, std::move(windows.body)}});
+  }
+}
+
 void decision_state::AdvanceDrain(time_point now) {
   const drain_progress progress{calls_.open_calls(),
                                 fleet_returned_ && placement_.drained()};
@@ -190,6 +207,8 @@
   if (drain_.phase() == drain_phase::finishing)
     SetReadiness(now);
   if (drain_.phase() == drain_phase::returning) {
+    save_due_ = now;
+    SaveWindows(now);
     Placement([&](auto& placement, auto& actions) {
       placement.OnDrain(now, actions);
     });
--- a/packages/node/src/decision_state.h
+++ b/packages/node/src/decision_state.h
@@ -152,6 +152,7 @@
                        const platform_reply& reply,
                        time_point now);
   void OnAnswerRecord(const platform_reply& reply, time_point now);
+  void OnWindowSaved(const platform_reply& reply);
   void OnAnswerRead(const platform_reply& reply, time_point now);
 
   // Facts by kind.
@@ -166,6 +167,7 @@
                std::optional<refusal_code> refused,
                time_point now);
   void UpdatePlacementDemand(time_point now);
+  void SaveWindows(time_point now);
   void AdvanceDrain(time_point now);
   void SetReadiness(time_point now);
   void RoutesChanged(time_point now);
@@ -189,6 +191,7 @@
   std::unordered_map<endpoint_id, std::string> incarnations_;
   std::unordered_map<instance_id, std::string> mesh_addresses_;
   time_point demand_due_;
+  time_point save_due_;
   bool fleet_ready_ = false;
   refusal_code unready_code_ = refusal_code::isolated;
   bool fleet_returned_ = false;
--- a/packages/node/src/decision_state_calls.cc
+++ b/packages/node/src/decision_state_calls.cc
@@ -8,6 +8,7 @@
 #include "event_log.h"
 #include "jasminepath/config/configuration_index.h"
 #include "jasminepath/platform/table_keys.h"
+#include "node_metrics.h"
 #include "platform_gateway.h"
 #include "row_codec.h"
 
@@ -45,6 +46,22 @@
              : decision::write_status::unreachable;
 }
 
+// The name under which a call counts; empty if nothing serves it, so that
+// callers cannot add names at will.
+std::string RouteName(const config::configuration& source,
+                      const decision::call_target& target) {
+  if (const auto* model = std::get_if<decision::model_target>(&target)) {
+    const bool known =
+        config::FindModelService(source, model->model) != nullptr;
+    return known ? model->model.value() : std::string();
+  }
+  const auto& call = std::get<decision::route_target>(target);
+  const auto found = config::FindRoute(source, call.method, call.path);
+  if (found.matched == nullptr)
+    return std::string();
+  return call.method + " " + found.matched->path_prefix;
+}
+
 bool IsEngine(const config::configuration& source, const service_id& id) {
   for (const config::service& service : source.services) {
     if (service.id == id)
@@ -57,6 +74,8 @@
 
 void decision_state::On(call_arrived& event, time_point now) {
   board_.Add(event.arrival.id, std::move(event.channel), now);
+  if (open_call* call = board_.Find(event.arrival.id))
+    call->route = RouteName(*configuration_, event.arrival.target);
   Calls([&](auto& calls, auto& actions) {
     calls.OnArrival(std::move(event.arrival), now, actions);
   });
@@ -110,6 +129,7 @@
   call_outcome outcome;
   outcome.team = call->team;
   outcome.service = call->service;
+  outcome.route = call->route;
   outcome.refused = refused;
   outcome.total = now - call->arrived;
   if (call->first_byte)
@@ -122,7 +142,7 @@
        {"outcome", refused ? ToString(*refused) : std::string_view("served")},
        {"attempts", call->attempts},
        {"total_ms", ToMilliseconds(outcome.total)}});
-  outlets_.record(outcome);
+  outlets_.metrics.Record(outcome);
 }
 
 void decision_state::Do(decision::refuse_call& action, time_point now) {
--- a/packages/node/src/decision_state_fleet.cc
+++ b/packages/node/src/decision_state_fleet.cc
@@ -11,6 +11,7 @@
 #include "jasminepath/config/team_key_codec.h"
 #include "jasminepath/mesh/link_set.h"
 #include "jasminepath/platform/table_keys.h"
+#include "node_metrics.h"
 #include "node_view.h"
 #include "platform_gateway.h"
 #include "platform_throttle.h"
@@ -148,6 +149,7 @@
   configuration_ =
       std::make_shared<const config::configuration>(std::move(parsed.value()));
   outlets_.view.SetConfiguration(configuration_);
+  outlets_.metrics.SetObjectives(configuration_->objectives);
   outlets_.poller.SetEndpoints(EnginesOf(*configuration_));
   router_.OnConfiguration(configuration_, now);
   Fleet(fleet_.OnConfiguration(configuration_, now));
@@ -356,6 +358,11 @@
   Fleet(fleet_.OnShareRow(team, record, version, now));
 }
 
+void decision_state::OnWindowSaved(const platform_reply& reply) {
+  if (!std::get<put_object::outcome>(reply.outcome))
+    outlets_.metrics.MarkUnstored(reply.ticket.subject);
+}
+
 void decision_state::On(platform_reply& event, time_point now) {
   using decision::authority_kind;
   switch (event.ticket.purpose) {
@@ -390,7 +397,7 @@
     case platform_purpose::answer_read:
       return OnAnswerRead(event, now);
     case platform_purpose::window_save:
-      return;
+      return OnWindowSaved(event);
   }
 }
 
--- a/packages/node/src/node_app.cc
+++ b/packages/node/src/node_app.cc
@@ -11,7 +11,6 @@
 #include <utility>
 
 #include "admin_api.h"
-#include "call_outcome.h"
 #include "caller_api.h"
 #include "decision_loop.h"
 #include "endpoint_poller.h"
@@ -234,16 +233,8 @@
     loop.self.admin_address = admin_front_->address();
     loop.seed_peers = settings_.seed_peers;
     loop.drain.lame_duck = settings_.limits.lame_duck;
-    const loop_outlets outlets{view_,
-                               log_,
-                               *links_,
-                               *platform_,
-                               throttle_,
-                               *orders_,
-                               *poller_,
-                               [this](const call_outcome& outcome) {
-                                 metrics_.Record(outcome, boot_clock::now());
-                               }};
+    const loop_outlets outlets{view_,     log_,     *links_,  *platform_,
+                               throttle_, *orders_, *poller_, metrics_};
     loop_.emplace(loop, events_, outlets, SystemSeededEngine());
     log_.Write(log_level::info, "node_started",
                {{"vm", settings_.vm.value()},
--- a/packages/node/src/order_duty.cc
+++ b/packages/node/src/order_duty.cc
@@ -49,6 +49,11 @@
   if (!address || expired)
     return {order.order.id, decision::order_end::failed};
   const endpoint::engine_client client(*address, timeout_);
+  if (!order.incarnation.empty()) {
+    const auto status = client.Status();
+    if (!status || status.value().incarnation != order.incarnation)
+      return {order.order.id, decision::order_end::failed};
+  }
   return {order.order.id, ToDecision(client.SendOrder(ToEngine(order.order)))};
 }
 
