--- a/packages/node/src/answer_relay.cc
+++ b/packages/node/src/answer_relay.cc
@@ -55,7 +55,7 @@
   if (streaming_events_ && status_ == kStatusOk)
     return RelayEvents(part);
   if (relaying_)
-    return RelayRaw(part);
+    return Relay(part);
   return Hold(part);
 }
 
@@ -78,10 +78,6 @@
     caller_gone_ = true;
 }
 
-bool answer_relay::RelayRaw(std::string_view part) {
-  return Relay(part);
-}
-
 bool answer_relay::RelayEvents(std::string_view part) {
   if (!splitter_.Append(part))
     return false;
--- a/packages/node/src/answer_relay.h
+++ b/packages/node/src/answer_relay.h
@@ -60,7 +60,6 @@
 
  private:
   void BeginRelay();
-  bool RelayRaw(std::string_view part);
   bool RelayEvents(std::string_view part);
   bool Hold(std::string_view part);
   void ReportFirstByte();
--- a/packages/node/src/call_worker.cc
+++ b/packages/node/src/call_worker.cc
@@ -1,6 +1,5 @@
 #include "call_worker.h"
 
-#include <charconv>
 #include <optional>
 #include <string>
 #include <thread>
