--- a/apps/jasminepathd/main.cc
+++ b/apps/jasminepathd/main.cc
@@ -1,7 +1,9 @@
-// The node: jasminepathd --settings FILE.
+// The node: jasminepathd --settings FILE for the project's own interface, or
+// jasminepathd --platform on the users' platform.
 
 #include <signal.h>
 
+#include <cstdlib>
 #include <cxxopts.hpp>
 #include <iostream>
 #include <memory>
@@ -10,7 +12,10 @@
 
 #include "jasminepath/config/fault.h"
 #include "jasminepath/config/node_settings.h"
+#include "jasminepath/gateway/gateway_app.h"
 #include "jasminepath/node/node_app.h"
+#include "jasminepath/platform_adapter/boot_settings.h"
+#include "jasminepath/platform_adapter/platform_dialect.h"
 
 namespace {
 
@@ -18,6 +23,7 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
+using jasminepath::gateway::gateway_app;
 using jasminepath::node::node_app;
 using jasminepath::node::run_end;
 
@@ -72,13 +78,43 @@
   return RunNode(settings.value());
 }
 
+// Serves on the users' platform, whose settings file the environment names.
+int RunOnPlatform(bool only_check) {
+  namespace adapter = jasminepath::platform_adapter;
+  const char* path = std::getenv(adapter::kSettingsVariable);
+  if (path == nullptr) {
+    std::cerr << "jasminepathd: set " << adapter::kSettingsVariable
+              << " to the path of the settings file\n";
+    return kExitUsage;
+  }
+  const auto read = [path] { return adapter::LoadBootSettings(path); };
+  const auto settings = read();
+  if (!settings) {
+    std::cerr << "jasminepathd: " << settings.error().message << "\n";
+    return kExitUsage;
+  }
+  if (only_check) {
+    std::cout << path << ": good\n";
+    return kExitDone;
+  }
+  const adapter::platform_dialect speech;
+  const auto app = gateway_app::MakeGatewayApp(settings.value(), speech, read);
+  if (!app) {
+    std::cerr << "jasminepathd: " << app.error() << "\n";
+    return kExitFailed;
+  }
+  app.value()->Run();
+  return kExitDone;
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
   cxxopts::Options options("jasminepathd", "Serves callers as one node.");
   options.add_options()("settings", "JSON file with the node's settings",
                         cxxopts::value<std::string>())(
-      "check-settings", "only check the settings")(
+      "platform", "run on the users' platform")("check-settings",
+                                                "only check the settings")(
       "version", "show the version")("help", "show this text");
   try {
     const auto parsed = options.parse(argc, argv);
@@ -90,8 +126,10 @@
       std::cout << "jasminepathd " << JASMINEPATH_VERSION << "\n";
       return kExitDone;
     }
+    if (parsed.count("platform") > 0)
+      return RunOnPlatform(parsed.count("check-settings") > 0);
     if (parsed.count("settings") == 0) {
-      std::cerr << "jasminepathd: --settings FILE is missing\n";
+      std::cerr << "jasminepathd: --settings FILE or --platform is missing\n";
       return kExitUsage;
     }
     return LoadAndRun(parsed["settings"].as<std::string>(),
--- a/cmake/jasminepath_package.cmake
+++ b/cmake/jasminepath_package.cmake
@@ -39,7 +39,7 @@
   jasminepath_warnings(${library})
 
   file(GLOB_RECURSE tests CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/tests/*.cc)
-  if(tests)
+  if(tests AND JASMINEPATH_TESTS)
     # One generated file holds main(), so that any number of test files can be linked together.
     set(test_main ${CMAKE_CURRENT_BINARY_DIR}/test_main.cc)
     file(CONFIGURE OUTPUT ${test_main} CONTENT
--- a/packages/decision/src/routing/endpoint_health.cc
+++ b/packages/decision/src/routing/endpoint_health.cc
@@ -1,4 +1,4 @@
-#include "routing/endpoint_health.h"
+#include "jasminepath/decision/routing/endpoint_health.h"
 
 #include <algorithm>
 
--- a/packages/decision/src/routing/router_state.h
+++ b/packages/decision/src/routing/router_state.h
@@ -8,8 +8,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include "jasminepath/decision/routing/endpoint_health.h"
 #include "jasminepath/decision/routing/router.h"
-#include "routing/endpoint_health.h"
 #include "routing/load_tracker.h"
 #include "routing/prefix_index.h"
 
--- /dev/null
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -0,0 +1,107 @@
+#ifndef JASMINEPATH_GATEWAY_PEER_DIGEST_H_
+#define JASMINEPATH_GATEWAY_PEER_DIGEST_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "jasminepath/base/ids.h"
+
+namespace jasminepath::gateway {
+
+// Tokens of a team that one node has let through since it started.
+struct team_use {
+  team_id team;
+  int64_t tokens = 0;
+
+  friend bool operator==(const team_use&, const team_use&) = default;
+};
+
+// Requests of one node that run at an endpoint.
+struct endpoint_use {
+  endpoint_id endpoint;
+  int64_t running = 0;
+
+  friend bool operator==(const endpoint_use&, const endpoint_use&) = default;
+};
+
+// What the callers of one node ask of a model, or of an adapter of it.
+struct model_use {
+  model_id model;
+  adapter_id adapter;
+  // Requests that wait because nothing ready serves them.
+  int64_t waiting = 0;
+  // Requests that have come since the node started.
+  int64_t arrivals = 0;
+
+  friend bool operator==(const model_use&, const model_use&) = default;
+};
+
+// How often a request has ended the connection of the endpoint that ran it.
+struct crash_count {
+  uint64_t fingerprint = 0;
+  int64_t crashes = 0;
+
+  friend bool operator==(const crash_count&, const crash_count&) = default;
+};
+
+// What a node tells its peers of itself, several times a second. Each digest
+// stands for itself, so that a lost one does no harm.
+struct peer_digest {
+  vm_id node;
+  zone_id zone;
+  // Drawn at each start of the process.
+  uint64_t incarnation = 0;
+  // Rises with each digest of an incarnation.
+  uint64_t sequence = 0;
+  // IP:PORT of its facts.
+  std::string facts_address;
+  // Versions of the last change of the configuration and of the endpoint list
+  // that it knows.
+  int64_t site_change = 0;
+  int64_t endpoints_change = 0;
+  // Fencing token of the placement authority if it holds it, and the version
+  // of the authority's row.
+  int64_t authority_epoch = 0;
+  int64_t authority_version = 0;
+  std::vector<team_use> teams;
+  std::vector<endpoint_use> endpoints;
+  std::vector<model_use> models;
+  std::vector<crash_count> crashes;
+  // The process is about to end.
+  bool leaving = false;
+
+  friend bool operator==(const peer_digest&, const peer_digest&) = default;
+};
+
+// How an engine's readiness for a model or adapter changes.
+enum class load_change { loading, ready, closing };
+
+// The placement authority's word on a model or adapter of an engine, ahead of
+// the list of endpoints.
+struct load_notice {
+  int64_t authority_epoch = 0;
+  endpoint_id endpoint;
+  model_id model;
+  adapter_id adapter;
+  load_change change = load_change::ready;
+  // Time until a load is expected to be complete.
+  int64_t ready_in_ms = 0;
+
+  friend bool operator==(const load_notice&, const load_notice&) = default;
+};
+
+using peer_message = std::variant<peer_digest, load_notice>;
+
+// Bytes of one datagram.
+std::string EncodePeerMessage(const peer_message& message);
+
+// Reads what EncodePeerMessage() wrote; nothing if it is no such message.
+std::optional<peer_message> DecodePeerMessage(std::string_view bytes);
+
+}  // namespace jasminepath::gateway
+
+#endif  // JASMINEPATH_GATEWAY_PEER_DIGEST_H_
--- /dev/null
+++ b/packages/gateway/src/call_session.cc
@@ -0,0 +1,545 @@
+#include "call_session.h"
+
+#include <algorithm>
+
+#include "jasminepath/base/digest.h"
+
+namespace jasminepath::gateway {
+namespace {
+
+// Time that is kept back for the answer's way to the caller.
+constexpr duration kAnswerMargin = Milliseconds(30);
+// Least time left with which a request is still sent to an endpoint.
+constexpr duration kLeastTimeToSend = Milliseconds(40);
+// Sends of one request, those included that an endpoint refused to run.
+constexpr int64_t kMostSends = 4;
+// Connections that are idle for longer are not used for requests that may run
+// once only, since the peer may be closing them.
+constexpr duration kReuseForOnce = Milliseconds(1000);
+constexpr duration kReuseForRepeatable = Seconds(4);
+constexpr duration kConnectTimeout = Milliseconds(500);
+// Silence after which a repeatable request is sent elsewhere, as a multiple of
+// the route's objective, and its bounds.
+constexpr int kSilenceObjectives = 2;
+constexpr duration kShortestSilence = Milliseconds(700);
+constexpr duration kLongestSilence = Milliseconds(3500);
+// Silence of a stream between two events, in pauses that callers are promised.
+constexpr int kSilencePauses = 3;
+// Answers up to this size are passed on whole.
+constexpr std::size_t kWholeAnswerBytes = 262144;
+// Bytes that a slow caller may leave unread before the endpoint is paused.
+constexpr std::size_t kMostUnsentBytes = 262144;
+// When callers are asked to come back, where nothing better is known.
+constexpr duration kRetrySoon = Milliseconds(300);
+constexpr duration kRetryWithoutSite = Milliseconds(500);
+constexpr duration kRetryBarred = Seconds(30);
+// Lowest value that engines take as a priority.
+constexpr int64_t kLowestPriority = 9;
+
+http::response_head WithoutConnectionFields(const http::response_head& head) {
+  http::response_head out;
+  out.status = head.status;
+  for (const http::header& field : head.headers.fields()) {
+    if (!http::IsConnectionField(field.name))
+      out.headers.Add(field.name, field.value);
+  }
+  return out;
+}
+
+bool IsSuccess(int status) {
+  return status >= 200 && status < 300;
+}
+
+}  // namespace
+
+call_session::call_session(call_context& context,
+                           caller_request request,
+                           std::shared_ptr<http::exchange> reply)
+    : context_(context),
+      request_(std::move(request)),
+      reply_(std::move(reply)),
+      site_(context.site),
+      deadline_timer_(context.loop),
+      silence_timer_(context.loop) {}
+
+call_session::~call_session() = default;
+
+void call_session::Start() {
+  self_ = shared_from_this();
+  const auto keep = self_;
+  arrived_at_ = reply_->received_at();
+  if (!site_)
+    return Refuse(503, "no_configuration", kRetryWithoutSite);
+  if (!Authorize())
+    return;
+  const duration patience =
+      std::min(request_.patience.value_or(route_->timeout), route_->timeout);
+  deadline_ = arrived_at_ + patience;
+  fingerprint_ = Fingerprint(request_, team_.id);
+  if (context_.suspects.IsBarred(fingerprint_, boot_clock::now()))
+    return Refuse(503, "crashes_endpoints", kRetryBarred);
+  if (!TakeRate())
+    return;
+  ChooseService();
+  if (!request_.model.empty()) {
+    context_.queue.CountArrival(request_.model, request_.adapter,
+                                boot_clock::now());
+    std::string shared = request_.model.value();
+    if (request_.prompt.size() > 1) {
+      for (std::size_t i = 0; i + 1 < request_.prompt.size(); ++i)
+        shared.append("\n").append(request_.prompt[i].id);
+    }
+    affinity_ = StableHash(shared);
+  }
+  last_event_ = request_.last_event;
+  reply_->OnDeparture([this] { OnDeparture(); });
+  deadline_timer_.Start(TimeLeft() - kAnswerMargin, [this] { OnDeadline(); });
+  Dispatch();
+}
+
+bool call_session::Authorize() {
+  route_ = site_->FindRoute(request_.host, http::PathOf(request_.target));
+  if (route_ == nullptr) {
+    Answer(404, "no_route");
+    return false;
+  }
+  priority_ = route_->priority;
+  if (route_->open || site_->teams().empty())
+    return true;
+  const team* found = site_->FindTeam(request_.key);
+  if (found == nullptr) {
+    Answer(401, "unknown_key");
+    return false;
+  }
+  team_ = *found;
+  priority_ = team_.priority.value_or(priority_);
+  return true;
+}
+
+bool call_session::TakeRate() {
+  if (team_.id.empty())
+    return true;
+  const int64_t size =
+      request_.prompt_tokens
+          ? *request_.prompt_tokens + request_.output_tokens.value_or(0)
+          : team_.plain_tokens;
+  const time_point now = boot_clock::now();
+  if (!context_.limiter.Take(team_.id, size, now)) {
+    Refuse(429, "over_rate", context_.limiter.TimeToRefill(team_.id, now));
+    return false;
+  }
+  charged_ = size;
+  return true;
+}
+
+void call_session::ChooseService() {
+  int64_t total = 0;
+  for (const weighted_service& part : route_->services)
+    total += part.weight;
+  if (total > 0) {
+    auto point = static_cast<int64_t>(StableHash(request_.id.value()) %
+                                      static_cast<uint64_t>(total));
+    for (const weighted_service& part : route_->services) {
+      service_ = part.service;
+      point -= part.weight;
+      if (point < 0)
+        break;
+    }
+  }
+  spec_ = site_->FindService(service_);
+}
+
+endpoint_query call_session::Query() const {
+  endpoint_query query;
+  query.service = service_;
+  if (spec_ != nullptr && spec_->engine) {
+    query.model = request_.model;
+    query.adapter = request_.adapter;
+    query.affinity = affinity_;
+  }
+  query.avoid = avoid_;
+  return query;
+}
+
+void call_session::Wake() {
+  if (!ended_ && queued_)
+    Dispatch();
+}
+
+void call_session::Dispatch() {
+  if (TimeLeft() < kLeastTimeToSend + kAnswerMargin)
+    return GiveUp();
+  const auto choice = context_.endpoints.Pick(Query(), boot_clock::now());
+  if (!choice.endpoint)
+    return WaitForEndpoint(choice.miss);
+  if (queued_) {
+    context_.queue.Remove(*this);
+    queued_ = false;
+  }
+  // Every send after the first one draws on the budget.
+  if (sends_ > 0 &&
+      (sends_ >= kMostSends || !context_.retries.For(service_).Take())) {
+    Log("retry_denied", "budget", 0);
+    return GiveUp();
+  }
+  Send(choice.endpoint);
+}
+
+void call_session::WaitForEndpoint(pick_miss miss) {
+  const time_point now = boot_clock::now();
+  const bool for_load = miss == pick_miss::not_loaded;
+  if (for_load && spec_ != nullptr && spec_->engine &&
+      spec_->engine->FindModel(request_.model) == nullptr)
+    return Refuse(503, "unknown_model", kRetrySoon);
+  const time_point ready_at = context_.queue.ReadyAt(request_.model);
+  if (for_load && ready_at > deadline_ - kLeastTimeToSend)
+    return Refuse(503, "load_too_late",
+                  std::max<duration>(ready_at - now, kRetrySoon));
+  if (queued_ && queued_for_load_ == for_load)
+    return;
+  queued_ = true;
+  queued_for_load_ = for_load;
+  context_.queue.Add(*this, priority_, deadline_, request_.model,
+                     request_.adapter, for_load);
+  Log("waiting",
+      for_load ? "not_loaded"
+               : (miss == pick_miss::full ? "full" : "no_endpoint"),
+      0);
+}
+
+http::call_options call_session::OptionsFor() const {
+  http::call_options options;
+  options.connect_timeout = std::min<duration>(kConnectTimeout, TimeLeft());
+  options.head_timeout = std::max<duration>(TimeLeft(), kLeastTimeToSend);
+  if (route_->MayRepeat())
+    options.reuse_within = kReuseForRepeatable;
+  else if (route_->kind == request_kind::streaming)
+    options.reuse_within = kReuseForOnce;
+  else
+    options.reuse_within = duration::zero();
+  return options;
+}
+
+void call_session::Send(std::shared_ptr<pooled_endpoint> endpoint) {
+  const time_point now = boot_clock::now();
+  attempt_fields fields;
+  fields.endpoint = endpoint->entry.id;
+  fields.time_left = TimeLeft() - kAnswerMargin;
+  fields.team = team_.id;
+  if (spec_ != nullptr && spec_->engine)
+    fields.priority = std::clamp<int64_t>(priority_, 0, kLowestPriority);
+  fields.last_event = last_event_;
+  if (sends_ == 0)
+    context_.retries.For(service_).OnFirstAttempt();
+  ++sends_;
+  context_.metrics.CountAttempt();
+  context_.endpoints.Begin(*endpoint);
+  attempt_.emplace();
+  attempt_->endpoint = std::move(endpoint);
+  attempt_->sent_at = now;
+  http::call_options options = OptionsFor();
+  if (attempt_->endpoint->health.wants_fresh_connection())
+    options.reuse_within = duration::zero();
+  Log("sent", attempt_->endpoint->entry.id.value(), 0);
+  call_ = attempt_->endpoint->client->Send(
+      http::Serialize(context_.codec.EncodeAttempt(request_, fields)),
+      request_.method == "HEAD", options, *this);
+  StartSilenceTimer();
+}
+
+// A repeatable request whose endpoint says nothing is tried elsewhere.
+void call_session::StartSilenceTimer() {
+  if (!route_->MayRepeat() || runs_ + 1 >= route_->max_attempts)
+    return;
+  duration silence =
+      std::clamp<duration>(route_->objective * kSilenceObjectives,
+                           kShortestSilence, kLongestSilence);
+  if (answer_started_)
+    silence = std::max<duration>(route_->pause_objective * kSilencePauses,
+                                 kShortestSilence);
+  silence_timer_.Start(silence, [this] { OnSilence(); });
+}
+
+void call_session::OnSilence() {
+  const auto keep = shared_from_this();
+  if (!attempt_ || !context_.retries.For(service_).Take())
+    return;
+  may_have_run_ = true;
+  ++runs_;
+  call_.reset();
+  const endpoint_id silent = attempt_->endpoint->entry.id;
+  EndAttempt(decision::attempt_end::silent);
+  avoid_.push_back(silent);
+  splitter_.Reset();
+  Log("attempt_failed", "silent", 0);
+  const auto choice = context_.endpoints.Pick(Query(), boot_clock::now());
+  if (choice.endpoint)
+    return Send(choice.endpoint);
+  WaitForEndpoint(choice.miss);
+}
+
+bool call_session::OnHead(const http::response_head& head) {
+  attempt_->endpoint->heard_at = boot_clock::now();
+  answer_fields fields = context_.codec.DecodeAnswer(head);
+  if (fields.request && *fields.request != request_.id) {
+    Log("answer_skipped", "other_request", head.status);
+    return false;
+  }
+  // An answer without an id can only be one that refuses the request.
+  if (!fields.request && !fields.not_run && !fields.other_endpoint &&
+      IsSuccess(head.status)) {
+    Log("answer_skipped", "no_request_id", head.status);
+    return false;
+  }
+  attempt_->fields = fields;
+  attempt_->head = head;
+  attempt_->head_seen = true;
+  const bool is_stream = route_->kind == request_kind::streaming;
+  if (is_stream && IsSuccess(head.status) && fields.sealed) {
+    attempt_->relaying = true;
+    StartSilenceTimer();
+    // The caller gets the head with the first event, so that an attempt which
+    // ends before it can still be repeated.
+  } else {
+    silence_timer_.Cancel();
+  }
+  return true;
+}
+
+void call_session::OnBody(std::string_view piece) {
+  attempt_->endpoint->heard_at = boot_clock::now();
+  if (attempt_->relaying && route_->kind == request_kind::streaming) {
+    StartSilenceTimer();
+    RelayEvents(piece);
+    return;
+  }
+  if (attempt_->relaying)
+    return Relay(piece);
+  attempt_->body.append(piece);
+  if (attempt_->body.size() <= kWholeAnswerBytes ||
+      !IsSuccess(attempt_->head.status) || !attempt_->fields.sealed)
+    return;
+  attempt_->relaying = true;
+  const std::string body = std::move(attempt_->body);
+  Relay(body);
+}
+
+void call_session::RelayEvents(std::string_view piece) {
+  if (!route_->resumable)
+    return Relay(piece);
+  // Only whole events are passed on, so that another endpoint can go on.
+  if (!splitter_.Append(piece))
+    return OnFailure(http::call_failure::malformed);
+  while (auto event = splitter_.Next()) {
+    if (event->index)
+      last_event_ = std::to_string(*event->index);
+    Relay(event->raw);
+  }
+}
+
+void call_session::Relay(std::string_view piece) {
+  if (!answer_started_) {
+    answer_started_ = true;
+    first_byte_at_ = boot_clock::now();
+    context_.metrics.RecordFirstByte(service_, first_byte_at_ - arrived_at_);
+    reply_->Start(WithoutConnectionFields(attempt_->head));
+  }
+  reply_->Write(piece);
+  if (reply_->unsent_bytes() < kMostUnsentBytes || !call_)
+    return;
+  call_->Pause();
+  reply_->OnSent([weak = weak_from_this()] {
+    const auto self = weak.lock();
+    if (self && self->call_)
+      self->call_->Resume();
+  });
+}
+
+void call_session::EndAttempt(decision::attempt_end end) {
+  silence_timer_.Cancel();
+  if (attempt_->fields.closing)
+    attempt_->endpoint->client->CloseIdle();
+  context_.endpoints.End(*attempt_->endpoint, end, boot_clock::now());
+  attempt_.reset();
+  context_.queue.WakeAll();
+}
+
+void call_session::OnEnd() {
+  const auto keep = shared_from_this();
+  call_.reset();
+  const attempt done = *attempt_;
+  const int status = done.head.status;
+  if (done.fields.not_run || done.fields.other_endpoint) {
+    if (done.fields.other_endpoint)
+      context_.endpoints.OnNotHeld(*done.endpoint, request_.model,
+                                   request_.adapter, boot_clock::now());
+    EndAttempt(decision::attempt_end::refused);
+    avoid_.push_back(done.endpoint->entry.id);
+    return AfterFailure(done.fields.not_run ? "not_run" : "misdirected");
+  }
+  ++runs_;
+  may_have_run_ = true;
+  if (!done.fields.sealed && IsSuccess(status)) {
+    EndAttempt(decision::attempt_end::cut);
+    return AfterFailure("unsealed");
+  }
+  if (done.relaying && route_->kind == request_kind::streaming &&
+      splitter_.HasPartial()) {
+    EndAttempt(decision::attempt_end::cut);
+    avoid_.push_back(done.endpoint->entry.id);
+    splitter_.Reset();
+    return AfterFailure("cut_event");
+  }
+  if (status >= 500 && !answer_started_) {
+    EndAttempt(decision::attempt_end::server_error);
+    avoid_.push_back(done.endpoint->entry.id);
+    endpoint_failure_ = http::response{done.head, done.body};
+    return AfterFailure("status_" + std::to_string(status));
+  }
+  EndAttempt(decision::attempt_end::answered);
+  context_.suspects.OnAnswered(fingerprint_);
+  if (answer_started_) {
+    reply_->Finish();
+  } else {
+    first_byte_at_ = boot_clock::now();
+    context_.metrics.RecordFirstByte(service_, first_byte_at_ - arrived_at_);
+    reply_->Respond(WithoutConnectionFields(done.head), done.body);
+  }
+  Finish("answered", status);
+}
+
+void call_session::OnFailure(http::call_failure failure) {
+  const auto keep = shared_from_this();
+  call_.reset();
+  const attempt done = *attempt_;
+  const bool sent = failure != http::call_failure::not_sent;
+  if (sent) {
+    ++runs_;
+    may_have_run_ = true;
+    if (failure == http::call_failure::broken && !done.head_seen)
+      context_.suspects.OnCrash(fingerprint_, boot_clock::now());
+  }
+  EndAttempt(sent ? decision::attempt_end::cut
+                  : decision::attempt_end::connect_failed);
+  if (!sent) {
+    // It never left this node, so that it counts neither as a run nor as a
+    // repeat.
+    --sends_;
+  }
+  avoid_.push_back(done.endpoint->entry.id);
+  splitter_.Reset();
+  AfterFailure(std::string(http::NameOf(failure)));
+}
+
+bool call_session::MayRetry() {
+  if (may_have_run_ && !route_->MayRepeat())
+    return false;
+  return runs_ < std::max<int64_t>(route_->max_attempts, 1);
+}
+
+void call_session::AfterFailure(const std::string& reason) {
+  Log("attempt_failed", reason, 0);
+  if (!MayRetry() ||
+      context_.suspects.IsBarred(fingerprint_, boot_clock::now()))
+    return GiveUp();
+  Dispatch();
+}
+
+// Ends the call with what can truthfully be said.
+void call_session::GiveUp() {
+  if (answer_started_) {
+    reply_->Abort();
+    return Finish("cut", 0);
+  }
+  if (!may_have_run_)
+    return Refuse(503, "not_run", kRetrySoon);
+  if (endpoint_failure_) {
+    reply_->Respond(WithoutConnectionFields(endpoint_failure_->head),
+                    endpoint_failure_->body);
+    return Finish("endpoint_failure", endpoint_failure_->head.status);
+  }
+  Answer(502, "endpoint_lost");
+}
+
+void call_session::OnDeadline() {
+  const auto keep = shared_from_this();
+  if (attempt_) {
+    call_.reset();
+    may_have_run_ = true;
+    EndAttempt(decision::attempt_end::cancelled);
+  }
+  if (answer_started_) {
+    reply_->Abort();
+    return Finish("timed_out", 0);
+  }
+  if (!may_have_run_)
+    return Refuse(503, "timed_out_waiting", kRetrySoon);
+  Answer(504, "timed_out");
+}
+
+void call_session::OnDeparture() {
+  const auto keep = shared_from_this();
+  if (attempt_) {
+    call_.reset();
+    EndAttempt(decision::attempt_end::cancelled);
+  }
+  Finish("caller_left", 0);
+}
+
+void call_session::Refuse(int status,
+                          std::string_view reason,
+                          duration retry_after) {
+  if (charged_ > 0)
+    context_.limiter.Return(team_.id, charged_);
+  charged_ = 0;
+  reply_->Respond(
+      context_.codec.EncodeOwnAnswer(status, request_.id, retry_after), "");
+  Log("refused", reason, status);
+  Finish("refused", status);
+}
+
+void call_session::Answer(int status, std::string_view reason) {
+  reply_->Respond(
+      context_.codec.EncodeOwnAnswer(status, request_.id, std::nullopt), "");
+  Log("failed", reason, status);
+  Finish("failed", status);
+}
+
+void call_session::Finish(std::string_view outcome, int status) {
+  if (ended_)
+    return;
+  ended_ = true;
+  deadline_timer_.Cancel();
+  silence_timer_.Cancel();
+  if (queued_)
+    context_.queue.Remove(*this);
+  queued_ = false;
+  context_.metrics.RecordEnd(outcome, boot_clock::now() - arrived_at_);
+  if (outcome != "refused" && outcome != "failed")
+    Log(outcome, "", status);
+  self_.reset();
+}
+
+duration call_session::TimeLeft() const {
+  return deadline_ - boot_clock::now();
+}
+
+void call_session::Log(std::string_view outcome,
+                       std::string_view reason,
+                       int status) {
+  context_.log.Write(
+      report::log_level::info, "call",
+      {{"request", request_.id.value()},
+       {"outcome", outcome},
+       {"reason", reason},
+       {"status", status},
+       {"route", route_ != nullptr ? route_->name : std::string()},
+       {"team", team_.id.value()},
+       {"model", request_.model.value()},
+       {"adapter", request_.adapter.value()},
+       {"site_version", site_ ? site_->version() : 0},
+       {"sends", sends_},
+       {"age_ms", ToMilliseconds(boot_clock::now() - arrived_at_)}});
+}
+
+}  // namespace jasminepath::gateway
--- /dev/null
+++ b/packages/gateway/src/call_session.h
@@ -0,0 +1,116 @@
+#ifndef JASMINEPATH_GATEWAY_SRC_CALL_SESSION_H_
+#define JASMINEPATH_GATEWAY_SRC_CALL_SESSION_H_
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "call_context.h"
+#include "jasminepath/http/client.h"
+#include "jasminepath/http/event_stream_splitter.h"
+#include "jasminepath/http/server.h"
+
+namespace jasminepath::gateway {
+
+// One request from its arrival to the end of its answer: checks it, waits for
+// an endpoint, sends it, sends it again where that is allowed, and passes the
+// answer on. Keeps itself alive until the answer has ended or the caller has
+// left.
+class call_session : public std::enable_shared_from_this<call_session>,
+                     private http::response_sink {
+ public:
+  call_session(call_context& context,
+               caller_request request,
+               std::shared_ptr<http::exchange> reply);
+  ~call_session() override;
+
+  void Start();
+
+  // Something has changed that the call may wait for.
+  void Wake();
+
+ private:
+  // How the attempt in progress has gone so far.
+  struct attempt {
+    std::shared_ptr<pooled_endpoint> endpoint;
+    time_point sent_at{};
+    answer_fields fields;
+    http::response_head head;
+    bool head_seen = false;
+    bool relaying = false;
+    std::string body;
+  };
+
+  bool Authorize();
+  bool TakeRate();
+  void ChooseService();
+  endpoint_query Query() const;
+
+  void Dispatch();
+  void WaitForEndpoint(pick_miss miss);
+  void Send(std::shared_ptr<pooled_endpoint> endpoint);
+  http::call_options OptionsFor() const;
+  void StartSilenceTimer();
+  void OnSilence();
+
+  bool OnHead(const http::response_head& head) override;
+  void OnBody(std::string_view piece) override;
+  void OnEnd() override;
+  void OnFailure(http::call_failure failure) override;
+
+  void RelayEvents(std::string_view piece);
+  void Relay(std::string_view piece);
+  void EndAttempt(decision::attempt_end end);
+  // The attempt has failed; sends the request again or gives it up.
+  void AfterFailure(const std::string& reason);
+  bool MayRetry();
+  void GiveUp();
+
+  void Refuse(int status, std::string_view reason, duration retry_after);
+  void Answer(int status, std::string_view reason);
+  void Finish(std::string_view outcome, int status);
+  void OnDeparture();
+  void OnDeadline();
+  duration TimeLeft() const;
+  void Log(std::string_view outcome, std::string_view reason, int status);
+
+  call_context& context_;
+  caller_request request_;
+  std::shared_ptr<http::exchange> reply_;
+  site_pointer site_;
+  const route* route_ = nullptr;
+  team team_;
+  service_id service_;
+  const service_spec* spec_ = nullptr;
+  int64_t priority_ = 0;
+  int64_t charged_ = 0;
+  uint64_t fingerprint_ = 0;
+  uint64_t affinity_ = 0;
+  time_point arrived_at_{};
+  time_point deadline_{};
+  http::timer deadline_timer_;
+  http::timer silence_timer_;
+  std::unique_ptr<http::call> call_;
+  std::optional<attempt> attempt_;
+  std::vector<endpoint_id> avoid_;
+  http::event_stream_splitter splitter_;
+  std::optional<std::string> last_event_;
+  int64_t runs_ = 0;
+  int64_t sends_ = 0;
+  // Some attempt may have run the request.
+  bool may_have_run_ = false;
+  bool answer_started_ = false;
+  time_point first_byte_at_{};
+  bool queued_ = false;
+  bool queued_for_load_ = false;
+  bool ended_ = false;
+  // The failure answer of an endpoint, passed on if nothing better comes.
+  std::optional<http::response> endpoint_failure_;
+  std::shared_ptr<call_session> self_;
+};
+
+}  // namespace jasminepath::gateway
+
+#endif  // JASMINEPATH_GATEWAY_SRC_CALL_SESSION_H_
--- /dev/null
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -0,0 +1,284 @@
+#include "endpoint_pool.h"
+
+#include <algorithm>
+#include <limits>
+
+#include "jasminepath/base/digest.h"
+
+namespace jasminepath::gateway {
+namespace {
+
+// A notice that a model is dropped holds for this long, unless the list of
+// endpoints confirms it.
+constexpr duration kClosingHolds = Seconds(3);
+// A notice that an adapter is ready holds for this long without the list
+// confirming it: the interval at which engines update their entries, with a
+// margin.
+constexpr duration kAnnouncementHolds = Seconds(3);
+// What a request in another zone, and one away from its engine with the shared
+// prompt parts, costs in running requests.
+constexpr double kOtherZoneCost = 3.0;
+constexpr double kOffAffinityCost = 6.0;
+// First time that a failing endpoint is out of rotation, and the longest.
+constexpr duration kFirstEjection = Milliseconds(1500);
+constexpr duration kLongestEjection = Seconds(10);
+// Successful probes that bring an endpoint back.
+constexpr int64_t kProbesToReturn = 1;
+
+bool Listed(const std::vector<endpoint_id>& ids, const endpoint_id& id) {
+  return std::find(ids.begin(), ids.end(), id) != ids.end();
+}
+
+}  // namespace
+
+int64_t pooled_endpoint::total_running() const {
+  int64_t total = running;
+  for (const auto& [node, count] : running_of_peers)
+    total += count;
+  return total;
+}
+
+endpoint_pool::endpoint_pool(http::event_loop& loop, zone_id zone)
+    : loop_(loop), zone_(std::move(zone)) {
+  limits_.first_ejection = kFirstEjection;
+  limits_.longest_ejection = kLongestEjection;
+  limits_.probes_to_return = kProbesToReturn;
+}
+
+void endpoint_pool::Apply(const std::vector<endpoint_entry>& entries,
+                          duration grace,
+                          time_point now) {
+  std::set<endpoint_id> listed;
+  for (const endpoint_entry& entry : entries) {
+    const auto address = http::ParseEndpoint(entry.address);
+    if (!address)
+      continue;
+    listed.insert(entry.id);
+    auto& slot = endpoints_[entry.id];
+    const bool restarted =
+        slot && (slot->entry.started_at_ms != entry.started_at_ms ||
+                 slot->entry.address != entry.address);
+    if (!slot || restarted) {
+      if (restarted)
+        opened_before_ += slot->client->opened();
+      slot = std::make_shared<pooled_endpoint>();
+      slot->client = std::make_unique<http::client>(loop_, address.value());
+    }
+    if (slot->entry.models != entry.models) {
+      std::erase_if(slot->closing, [&](const auto& item) {
+        const auto& [model, adapter] = item.first;
+        return adapter.empty() &&
+               std::none_of(entry.models.begin(), entry.models.end(),
+                            [&](const resident_model& resident) {
+                              return resident.model == model;
+                            });
+      });
+    }
+    slot->entry = entry;
+    slot->dropped_at.reset();
+  }
+  for (auto& [id, endpoint] : endpoints_) {
+    if (listed.contains(id) || endpoint->dropped_at)
+      continue;
+    endpoint->dropped_at = now + grace;
+  }
+  DropMissing(now);
+}
+
+void endpoint_pool::DropMissing(time_point now) {
+  std::erase_if(endpoints_, [&](const auto& item) {
+    const auto& dropped_at = item.second->dropped_at;
+    if (!dropped_at || now < *dropped_at)
+      return false;
+    opened_before_ += item.second->client->opened();
+    return true;
+  });
+}
+
+void endpoint_pool::OnNotice(const load_notice& notice, time_point now) {
+  const auto endpoint = Find(notice.endpoint);
+  if (!endpoint)
+    return;
+  const auto key = std::make_pair(notice.model, notice.adapter);
+  switch (notice.change) {
+    case load_change::closing:
+      endpoint->closing[key] = now;
+      endpoint->announced.erase(key);
+      return;
+    case load_change::ready:
+      endpoint->closing.erase(key);
+      endpoint->announced[key] = now;
+      return;
+    case load_change::loading:
+      endpoint->closing.erase(key);
+      return;
+  }
+}
+
+void endpoint_pool::OnDigest(const peer_digest& digest) {
+  for (auto& [id, endpoint] : endpoints_)
+    endpoint->running_of_peers.erase(digest.node);
+  for (const endpoint_use& use : digest.endpoints) {
+    if (const auto endpoint = Find(use.endpoint))
+      endpoint->running_of_peers[digest.node] = use.running;
+  }
+}
+
+void endpoint_pool::ForgetPeer(const vm_id& node) {
+  for (auto& [id, endpoint] : endpoints_)
+    endpoint->running_of_peers.erase(node);
+}
+
+bool endpoint_pool::Holds(const pooled_endpoint& endpoint,
+                          const endpoint_query& query,
+                          time_point now) const {
+  if (query.model.empty())
+    return true;
+  const auto is_closing = [&](const adapter_id& adapter) {
+    const auto found = endpoint.closing.find({query.model, adapter});
+    return found != endpoint.closing.end() &&
+           now - found->second < kClosingHolds;
+  };
+  if (is_closing({}))
+    return false;
+  const auto& models = endpoint.entry.models;
+  const auto resident = std::find_if(
+      models.begin(), models.end(),
+      [&](const resident_model& m) { return m.model == query.model; });
+  if (resident == models.end())
+    return false;
+  if (query.adapter.empty())
+    return true;
+  if (is_closing(query.adapter))
+    return false;
+  const auto announced = endpoint.announced.find({query.model, query.adapter});
+  if (announced != endpoint.announced.end() &&
+      now - announced->second < kAnnouncementHolds)
+    return true;
+  return std::find(resident->adapters.begin(), resident->adapters.end(),
+                   query.adapter) != resident->adapters.end();
+}
+
+double endpoint_pool::Score(const pooled_endpoint& endpoint,
+                            const endpoint_query& query,
+                            bool preferred) const {
+  auto score = static_cast<double>(endpoint.total_running());
+  if (endpoint.entry.zone != zone_)
+    score += query.model.empty() ? 1.0 : kOtherZoneCost;
+  if (!preferred)
+    score += kOffAffinityCost;
+  return score;
+}
+
+endpoint_pool::choice endpoint_pool::Pick(const endpoint_query& query,
+                                          time_point now) {
+  std::vector<std::shared_ptr<pooled_endpoint>> able;
+  bool any = false;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint->entry.service != query.service || endpoint->entry.draining)
+      continue;
+    any = true;
+    if (Holds(*endpoint, query, now))
+      able.push_back(endpoint);
+  }
+  if (able.empty())
+    return {nullptr, any ? pick_miss::not_loaded : pick_miss::no_endpoint};
+  // Endpoints that are out of rotation or failed this request are used only if
+  // there are no others.
+  std::vector<std::shared_ptr<pooled_endpoint>> sound;
+  for (const auto& endpoint : able) {
+    const auto stage = endpoint->health.StageAt(now);
+    const bool in_rotation =
+        stage == decision::endpoint_health::stage::in_use ||
+        (stage == decision::endpoint_health::stage::probing &&
+         endpoint->running == 0);
+    if (in_rotation && !Listed(query.avoid, endpoint->entry.id))
+      sound.push_back(endpoint);
+  }
+  if (sound.empty()) {
+    for (const auto& endpoint : able) {
+      if (!Listed(query.avoid, endpoint->entry.id))
+        sound.push_back(endpoint);
+    }
+  }
+  if (sound.empty())
+    sound = able;
+  // Rendezvous hashing: all nodes agree on the engine that keeps the shared
+  // prompt parts.
+  const pooled_endpoint* preferred = nullptr;
+  uint64_t highest = 0;
+  if (query.affinity != 0) {
+    for (const auto& endpoint : sound) {
+      const uint64_t weight = StableHash(endpoint->entry.id.value() +
+                                         std::to_string(query.affinity));
+      if (preferred == nullptr || weight > highest) {
+        preferred = endpoint.get();
+        highest = weight;
+      }
+    }
+  }
+  std::shared_ptr<pooled_endpoint> best;
+  double best_score = std::numeric_limits<double>::max();
+  for (const auto& endpoint : sound) {
+    if (endpoint->total_running() >= endpoint->entry.slots)
+      continue;
+    const double score = Score(
+        *endpoint, query, preferred == nullptr || preferred == endpoint.get());
+    if (score < best_score) {
+      best = endpoint;
+      best_score = score;
+    }
+  }
+  if (!best)
+    return {nullptr, pick_miss::full};
+  return {best, pick_miss::none};
+}
+
+void endpoint_pool::End(pooled_endpoint& endpoint,
+                        decision::attempt_end end,
+                        time_point now) {
+  --endpoint.running;
+  endpoint.health.OnEnd(end, endpoint.running, now, limits_);
+}
+
+void endpoint_pool::OnNotHeld(pooled_endpoint& endpoint,
+                              const model_id& model,
+                              const adapter_id& adapter,
+                              time_point now) {
+  endpoint.announced.erase({model, adapter});
+  // Long enough for the next update of the entry to come.
+  endpoint.closing[{model, adapter}] = now;
+}
+
+std::shared_ptr<pooled_endpoint> endpoint_pool::Find(
+    const endpoint_id& id) const {
+  const auto found = endpoints_.find(id);
+  return found == endpoints_.end() ? nullptr : found->second;
+}
+
+std::vector<endpoint_entry> endpoint_pool::Entries() const {
+  std::vector<endpoint_entry> entries;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (!endpoint->dropped_at)
+      entries.push_back(endpoint->entry);
+  }
+  return entries;
+}
+
+std::vector<endpoint_use> endpoint_pool::Running() const {
+  std::vector<endpoint_use> uses;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint->running > 0)
+      uses.push_back({id, endpoint->running});
+  }
+  return uses;
+}
+
+std::size_t endpoint_pool::opened_connections() const {
+  std::size_t opened = opened_before_;
+  for (const auto& [id, endpoint] : endpoints_)
+    opened += endpoint->client->opened();
+  return opened;
+}
+
+}  // namespace jasminepath::gateway
--- /dev/null
+++ b/packages/gateway/src/endpoint_pool.h
@@ -0,0 +1,124 @@
+#ifndef JASMINEPATH_GATEWAY_SRC_ENDPOINT_POOL_H_
+#define JASMINEPATH_GATEWAY_SRC_ENDPOINT_POOL_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jasminepath/base/boot_time.h"
+#include "jasminepath/decision/routing/endpoint_health.h"
+#include "jasminepath/decision/routing/routing_choice.h"
+#include "jasminepath/gateway/endpoint_entry.h"
+#include "jasminepath/gateway/peer_digest.h"
+#include "jasminepath/gateway/site.h"
+#include "jasminepath/http/client.h"
+
+namespace jasminepath::gateway {
+
+// What a request needs of an endpoint.
+struct endpoint_query {
+  service_id service;
+  model_id model;
+  adapter_id adapter;
+  // Stable hash of what requests share that gain from the same engine; 0 if
+  // nothing.
+  uint64_t affinity = 0;
+  // Endpoints that have failed this request already.
+  std::vector<endpoint_id> avoid;
+
+  friend bool operator==(const endpoint_query&,
+                         const endpoint_query&) = default;
+};
+
+// One endpoint as this node sees it.
+struct pooled_endpoint {
+  endpoint_entry entry;
+  std::unique_ptr<http::client> client;
+  decision::endpoint_health health;
+  // Requests of this node and of its peers that run there.
+  int64_t running = 0;
+  std::map<vm_id, int64_t> running_of_peers;
+  // When anything was last received from it.
+  time_point heard_at{};
+  // Models and adapters about to be dropped, until the entry shows it.
+  std::map<std::pair<model_id, adapter_id>, time_point> closing;
+  // Adapters said to be ready ahead of the entry, and when.
+  std::map<std::pair<model_id, adapter_id>, time_point> announced;
+  // Set while the entry is missing from the list: when it counts as gone.
+  std::optional<time_point> dropped_at;
+
+  int64_t total_running() const;
+};
+
+// Why no endpoint was picked.
+enum class pick_miss {
+  none,         // One was picked.
+  no_endpoint,  // The service has no usable endpoint.
+  not_loaded,   // No usable endpoint has the model or adapter ready.
+  full,         // Those that could serve are full.
+};
+
+// The endpoints of the list, with their connections and what is known of their
+// load and health. Picks one for each attempt. Runs on the loop.
+class endpoint_pool {
+ public:
+  endpoint_pool(http::event_loop& loop, zone_id zone);
+
+  // Takes the whole list as it stands now. Entries that are missing are kept
+  // for `grace`, in which they may come back.
+  void Apply(const std::vector<endpoint_entry>& entries,
+             duration grace,
+             time_point now);
+  void OnNotice(const load_notice& notice, time_point now);
+  void OnDigest(const peer_digest& digest);
+  void ForgetPeer(const vm_id& node);
+  // Drops endpoints that have not come back.
+  void DropMissing(time_point now);
+
+  struct choice {
+    std::shared_ptr<pooled_endpoint> endpoint;
+    pick_miss miss = pick_miss::no_endpoint;
+  };
+  choice Pick(const endpoint_query& query, time_point now);
+
+  // An attempt begins, and ends.
+  void Begin(pooled_endpoint& endpoint) { ++endpoint.running; }
+  void End(pooled_endpoint& endpoint,
+           decision::attempt_end end,
+           time_point now);
+  // An endpoint says that it doesn't hold what it was thought to hold.
+  void OnNotHeld(pooled_endpoint& endpoint,
+                 const model_id& model,
+                 const adapter_id& adapter,
+                 time_point now);
+
+  std::shared_ptr<pooled_endpoint> Find(const endpoint_id& id) const;
+  // Entries of all endpoints that are listed.
+  std::vector<endpoint_entry> Entries() const;
+  // This node's requests at each endpoint.
+  std::vector<endpoint_use> Running() const;
+  std::size_t opened_connections() const;
+
+ private:
+  bool Holds(const pooled_endpoint& endpoint,
+             const endpoint_query& query,
+             time_point now) const;
+  double Score(const pooled_endpoint& endpoint,
+               const endpoint_query& query,
+               bool preferred) const;
+
+  http::event_loop& loop_;
+  zone_id zone_;
+  decision::routing_limits limits_;
+  std::map<endpoint_id, std::shared_ptr<pooled_endpoint>> endpoints_;
+  std::size_t opened_before_ = 0;
+};
+
+}  // namespace jasminepath::gateway
+
+#endif  // JASMINEPATH_GATEWAY_SRC_ENDPOINT_POOL_H_
--- /dev/null
+++ b/packages/gateway/src/fact_relay.h
@@ -0,0 +1,45 @@
+#ifndef JASMINEPATH_GATEWAY_SRC_FACT_RELAY_H_
+#define JASMINEPATH_GATEWAY_SRC_FACT_RELAY_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "jasminepath/base/ids.h"
+#include "jasminepath/http/client.h"
+#include "jasminepath/http/server.h"
+#include "jasminepath/report/event_log.h"
+#include "table_follower.h"
+
+namespace jasminepath::gateway {
+
+// Passes copies of the store's tables between nodes, for those that the store
+// does not serve. Runs on the loop.
+class fact_relay {
+ public:
+  fact_relay(http::event_loop& loop, report::event_log& log);
+
+  // The body of an answer with the whole copy.
+  static std::string Encode(const table_follower& table);
+  // Path at which a node serves its copy of the table.
+  static std::string PathOfTable(const table_follower& table);
+
+  // Fetches a newer copy from a peer, unless a fetch is under way.
+  void Fetch(const std::string& facts_address,
+             const vm_id& peer,
+             table_follower& table);
+
+ private:
+  void OnFetched(const http::response* answer,
+                 const vm_id& peer,
+                 table_follower& table);
+
+  http::event_loop& loop_;
+  report::event_log& log_;
+  std::unique_ptr<http::client> client_;
+  std::unique_ptr<http::whole_call> call_;
+};
+
+}  // namespace jasminepath::gateway
+
+#endif  // JASMINEPATH_GATEWAY_SRC_FACT_RELAY_H_
--- /dev/null
+++ b/packages/gateway/src/fleet_rate_limiter.cc
@@ -0,0 +1,143 @@
+#include "jasminepath/gateway/fleet_rate_limiter.h"
+
+#include <algorithm>
+
+namespace jasminepath::gateway {
+namespace {
+
+// Silence after which a peer counts as cut off: several times the interval of
+// digests.
+constexpr duration kPeerSilence = Milliseconds(1500);
+// Debt is bounded to this many seconds of the rate, so that a burst seen late
+// does not shut a team out for long.
+constexpr double kMostDebtSeconds = 2.0;
+// Longest time that a team is asked to wait.
+constexpr double kMostWaitSeconds = 5.0;
+
+}  // namespace
+
+void fleet_rate_limiter::SetTeams(const std::vector<team>& teams,
+                                  time_point now) {
+  Fill(now);
+  std::map<team_id, bucket> next;
+  for (const team& source : teams) {
+    bucket value;
+    const auto known = buckets_.find(source.id);
+    if (known != buckets_.end()) {
+      value = known->second;
+    } else {
+      value.level =
+          static_cast<double>(source.burst) / static_cast<double>(node_count_);
+      value.filled_at = now;
+    }
+    value.rate = static_cast<double>(source.rate_per_second);
+    value.burst = static_cast<double>(
+        source.burst > 0 ? source.burst : source.rate_per_second);
+    value.level = std::min(value.level, value.burst);
+    next.emplace(source.id, value);
+  }
+  buckets_ = std::move(next);
+}
+
+void fleet_rate_limiter::Fill(time_point now) {
+  for (auto& [id, value] : buckets_) {
+    const double elapsed = ToSeconds(now - value.filled_at);
+    if (elapsed <= 0)
+      continue;
+    value.filled_at = now;
+    value.level += elapsed * value.rate;
+    const double part = value.rate / static_cast<double>(node_count_);
+    for (auto& [node, state] : peers_) {
+      if (now - state.heard_at < kPeerSilence)
+        continue;
+      value.level -= elapsed * part;
+      state.assumed[id] += elapsed * part;
+    }
+    value.level =
+        std::clamp(value.level, -kMostDebtSeconds * value.rate, value.burst);
+  }
+}
+
+void fleet_rate_limiter::OnDigest(const peer_digest& digest, time_point now) {
+  Fill(now);
+  peer& state = peers_[digest.node];
+  const bool restarted = state.incarnation != digest.incarnation;
+  if (!restarted && digest.sequence <= state.sequence)
+    return;
+  const bool first = state.incarnation == 0;
+  if (restarted)
+    state.used.clear();
+  state.incarnation = digest.incarnation;
+  state.sequence = digest.sequence;
+  state.heard_at = now;
+  for (const team_use& use : digest.teams) {
+    int64_t& known = state.used[use.team];
+    const int64_t fresh = std::max<int64_t>(use.tokens - known, 0);
+    known = std::max(known, use.tokens);
+    const auto found = buckets_.find(use.team);
+    // What a peer used before this node knew it is already in the past.
+    if (found == buckets_.end() || first)
+      continue;
+    bucket& value = found->second;
+    const double assumed = std::exchange(state.assumed[use.team], 0.0);
+    value.level = std::clamp(value.level + assumed - static_cast<double>(fresh),
+                             -kMostDebtSeconds * value.rate, value.burst);
+  }
+}
+
+void fleet_rate_limiter::ForgetPeer(const vm_id& node) {
+  peers_.erase(node);
+}
+
+bool fleet_rate_limiter::Take(const team_id& team,
+                              int64_t tokens,
+                              time_point now) {
+  const auto found = buckets_.find(team);
+  if (found == buckets_.end() || found->second.rate <= 0)
+    return true;
+  Fill(now);
+  bucket& value = found->second;
+  // A request larger than the burst passes once the bucket is full.
+  const double needed =
+      std::min(static_cast<double>(tokens), value.burst * 0.5);
+  if (value.level < needed)
+    return false;
+  value.level -= static_cast<double>(tokens);
+  value.used += tokens;
+  return true;
+}
+
+void fleet_rate_limiter::Return(const team_id& team, int64_t tokens) {
+  const auto found = buckets_.find(team);
+  if (found == buckets_.end() || found->second.rate <= 0)
+    return;
+  bucket& value = found->second;
+  value.level =
+      std::min(value.level + static_cast<double>(tokens), value.burst);
+  value.used -= tokens;
+}
+
+duration fleet_rate_limiter::TimeToRefill(const team_id& team,
+                                          time_point now) const {
+  const auto found = buckets_.find(team);
+  if (found == buckets_.end() || found->second.rate <= 0)
+    return duration::zero();
+  const bucket& value = found->second;
+  const double missing = value.burst * 0.5 - value.level -
+                         ToSeconds(now - value.filled_at) * value.rate;
+  const double seconds =
+      std::clamp(missing / value.rate, 0.1, kMostWaitSeconds);
+  return std::chrono::duration_cast<duration>(
+      std::chrono::duration<double>(seconds));
+}
+
+std::vector<team_use> fleet_rate_limiter::Used() const {
+  std::vector<team_use> uses;
+  for (const auto& [id, value] : buckets_) {
+    if (value.used != 0)
+      uses.push_back({id, value.used});
+  }
+  return uses;
+}
+
+}  // namespace jasminepath::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway_node.cc
@@ -0,0 +1,456 @@
+#include "gateway_node.h"
+
+#include <csignal>
+#include <random>
+#include <utility>
+
+#include "call_session.h"
+#include "jasminepath/base/digest.h"
+#include "jasminepath/config/json_value.h"
+
+namespace jasminepath::gateway {
+namespace {
+
+// Table in which nodes register their addresses.
+constexpr char kNodeTable[] = "jasminepath-nodes";
+constexpr char kAddressField[] = "address";
+constexpr char kMetricsPath[] = "/metrics";
+constexpr char kLogLevel[] = "info";
+
+// Interval of the node's own clock: leases, queues and silent peers.
+constexpr duration kTickInterval = Milliseconds(50);
+// Interval of digests; one is sent at once when a call begins to wait for a
+// model.
+constexpr duration kDigestInterval = Milliseconds(300);
+// Pause before a failed registration is tried again.
+constexpr duration kRegisterRetry = Milliseconds(500);
+// Time in which an entry that is missing after an outage of the store may come
+// back (site's rule: about two seconds after the store's return).
+constexpr duration kReturnGrace = Milliseconds(1800);
+// How long after a failed call the store counts as not yet steady.
+constexpr duration kStoreUnsteady = Seconds(4);
+// Time that the balancer needs to see that this node stops.
+constexpr duration kLameDuck = Milliseconds(2600);
+// Kept back at the end of the grace period for the exit itself.
+constexpr duration kExitMargin = Milliseconds(700);
+constexpr duration kStopCheck = Milliseconds(100);
+// Spread of the nodes that compete for the placement lease.
+constexpr int64_t kCandidateSpreadMs = 400;
+
+uint64_t DrawIncarnation() {
+  std::random_device device;
+  return (uint64_t{device()} << 32 | device()) | 1;
+}
+
+duration CandidateDelay(const vm_id& node) {
+  return Milliseconds(static_cast<int64_t>(
+      StableHash(node.value()) % static_cast<uint64_t>(kCandidateSpreadMs)));
+}
+
+}  // namespace
+
+gateway_node::gateway_node(const gateway_settings& settings,
+                           const boost::asio::ip::tcp::endpoint& store,
+                           const dialect& speech,
+                           settings_reader reader)
+    : settings_(settings),
+      speech_(speech),
+      reader_(std::move(reader)),
+      loop_(1),
+      incarnation_(DrawIncarnation()),
+      random_(incarnation_),
+      log_("",
+           kLogLevel,
+           settings.node.value() + "/" + std::to_string(incarnation_ % 100000)),
+      endpoints_(loop_, settings.zone),
+      retries_(settings.bounds.retry_share, settings.bounds.retry_reserve),
+      suspects_(settings.node),
+      context_{loop_,    speech_, log_,      endpoints_, limiter_,
+               retries_, queue_,  suspects_, metrics_,   nullptr},
+      store_(loop_, store, speech_, log_),
+      site_rows_(loop_,
+                 store_,
+                 speech_.configuration_table(),
+                 random_,
+                 [this] { OnSiteRows(); }),
+      endpoint_rows_(loop_,
+                     store_,
+                     speech_.endpoint_table(),
+                     random_,
+                     [this] { OnEndpointRows(); }),
+      orders_(loop_,
+              settings_,
+              incarnation_,
+              CandidateDelay(settings.node),
+              store_,
+              speech_,
+              endpoints_,
+              log_),
+      peers_(loop_, settings.node, log_),
+      relay_(loop_, log_),
+      callers_(
+          loop_,
+          [this](http::request message, std::shared_ptr<http::exchange> reply) {
+            AcceptCall(std::move(message), std::move(reply));
+          }),
+      probes_(loop_,
+              [this](const http::request& message,
+                     const std::shared_ptr<http::exchange>& reply) {
+                AnswerProbe(message, reply);
+              }),
+      inner_(loop_,
+             [this](const http::request& message,
+                    const std::shared_ptr<http::exchange>& reply) {
+               AnswerInner(message, reply);
+             }),
+      signals_(loop_),
+      tick_timer_(loop_),
+      digest_timer_(loop_),
+      stop_timer_(loop_),
+      register_timer_(loop_) {}
+
+gateway_node::~gateway_node() = default;
+
+result<void, std::string> gateway_node::Open() {
+  for (auto* opening : {&callers_, &probes_, &inner_}) {
+    const std::string& address = opening == &callers_ ? settings_.caller_address
+                                 : opening == &probes_
+                                     ? settings_.readiness_address
+                                     : settings_.metrics_address();
+    const auto opened = opening->Listen(address);
+    if (!opened)
+      return failure(opened.error());
+  }
+  const auto bound = peers_.Open(settings_.peer_address());
+  if (!bound)
+    return failure(bound.error());
+  peers_.OnMessage([this](const peer_message& m) { OnPeerMessage(m); });
+  peers_.OnGone([this](const vm_id& node) { OnPeerGone(node); });
+  orders_.OnNotice([this](const load_notice& notice) { OnNotice(notice); });
+  log_.Write(report::log_level::info, "started",
+             {{"node", settings_.node.value()},
+              {"zone", settings_.zone.value()},
+              {"callers", settings_.caller_address},
+              {"store", settings_.store_address}});
+  return success();
+}
+
+void gateway_node::Run() {
+  boost::system::error_code ignored;
+  for (const int number : {SIGTERM, SIGINT, SIGHUP})
+    signals_.add(number, ignored);
+  std::signal(SIGPIPE, SIG_IGN);
+  WatchSignals();
+  site_rows_.Start();
+  endpoint_rows_.Start();
+  Register();
+  Tick();
+  ScheduleDigest();
+  loop_.run();
+  log_.Write(report::log_level::info, "stopped",
+             {{"node", settings_.node.value()},
+              {"cut_calls", static_cast<int64_t>(callers_.busy_count())}});
+}
+
+void gateway_node::WatchSignals() {
+  signals_.async_wait(
+      [this](const boost::system::error_code& error, int number) {
+        if (error)
+          return;
+        if (number == SIGHUP)
+          Reload();
+        else
+          BeginStop();
+        WatchSignals();
+      });
+}
+
+void gateway_node::Reload() {
+  const auto read = reader_();
+  if (!read) {
+    log_.Write(report::log_level::error, "reload_failed",
+               {{"reason", read.error().message}});
+    return;
+  }
+  // Addresses stay as they are until the next start.
+  settings_.bounds = read.value().bounds;
+  log_.Write(report::log_level::info, "reloaded",
+             {{"lease_ms", ToMilliseconds(settings_.bounds.lease)}});
+}
+
+void gateway_node::AcceptCall(http::request message,
+                              std::shared_ptr<http::exchange> reply) {
+  auto decoded = speech_.DecodeRequest(std::move(message));
+  if (!decoded) {
+    log_.Write(report::log_level::info, "call",
+               {{"outcome", "refused"}, {"reason", decoded.error().message}});
+    reply->Respond(speech_.EncodeOwnAnswer(400, {}, std::nullopt), "");
+    return;
+  }
+  std::make_shared<call_session>(context_, std::move(decoded).value(),
+                                 std::move(reply))
+      ->Start();
+  if (queue_.TakeNewWant())
+    SendDigest();
+}
+
+bool gateway_node::IsReady() const {
+  return context_.site && endpoint_rows_.version() > revision(0) && !stopping_;
+}
+
+void gateway_node::AnswerProbe(const http::request& message,
+                               const std::shared_ptr<http::exchange>& reply) {
+  int status = 404;
+  if (speech_.IsReadinessCheck(message))
+    status = IsReady() ? 200 : 503;
+  reply->Respond({status, {}}, "");
+}
+
+void gateway_node::AnswerInner(const http::request& message,
+                               const std::shared_ptr<http::exchange>& reply) {
+  const std::string_view path = http::PathOf(message.target);
+  if (path == kMetricsPath)
+    return reply->Respond({200, {{"Content-Type", "text/plain"}}},
+                          metrics_.Text(Gauges()));
+  for (const table_follower* table : {&site_rows_, &endpoint_rows_}) {
+    if (path == fact_relay::PathOfTable(*table))
+      return reply->Respond({200, {}}, fact_relay::Encode(*table));
+  }
+  reply->Respond({404, {}}, "");
+}
+
+gateway_gauges gateway_node::Gauges() const {
+  gateway_gauges gauges;
+  gauges.connections = static_cast<int64_t>(callers_.connection_count());
+  gauges.waiting = static_cast<int64_t>(queue_.size());
+  gauges.endpoint_connections_opened =
+      static_cast<int64_t>(endpoints_.opened_connections());
+  gauges.store_calls = store_.calls();
+  gauges.store_failures = store_.failures();
+  gauges.peers = static_cast<int64_t>(peers_.peers().size());
+  gauges.site_version = context_.site ? context_.site->version() : 0;
+  gauges.orders = orders_.orders();
+  gauges.holds_placement = orders_.holds(boot_clock::now());
+  gauges.ready = IsReady();
+  return gauges;
+}
+
+void gateway_node::OnSiteRows() {
+  const auto row = site_rows_.rows().find(speech_.configuration_key());
+  if (row == site_rows_.rows().end())
+    return;
+  auto decoded = speech_.DecodeSite(row->second.value);
+  if (!decoded) {
+    log_.Write(report::log_level::error, "configuration_unreadable",
+               {{"row_version", row->second.version.count()},
+                {"reason", decoded.error().message}});
+    return;
+  }
+  site_pointer next = std::move(decoded).value();
+  if (context_.site && next->version() <= context_.site->version())
+    return;
+  log_.Write(report::log_level::info, "configuration",
+             {{"version", next->version()},
+              {"row_version", row->second.version.count()},
+              {"routes", static_cast<int64_t>(next->routes().size())},
+              {"teams", static_cast<int64_t>(next->teams().size())}});
+  context_.site = next;
+  callers_.SetLimits(next->limits());
+  limiter_.SetNodeCount(peers_.node_count());
+  limiter_.SetTeams(next->teams(), boot_clock::now());
+  orders_.SetSite(*next);
+  queue_.WakeAll();
+}
+
+void gateway_node::OnEndpointRows() {
+  std::vector<endpoint_entry> entries;
+  for (const auto& [key, row] : endpoint_rows_.rows()) {
+    auto decoded = speech_.DecodeEndpoint(key, row.value);
+    if (decoded) {
+      entries.push_back(std::move(decoded).value());
+      continue;
+    }
+    log_.Write(report::log_level::warning, "endpoint_unreadable",
+               {{"endpoint", key},
+                {"row_version", row.version.count()},
+                {"reason", decoded.error().message}});
+  }
+  const time_point now = boot_clock::now();
+  const bool unsteady =
+      store_.failures() > 0 && now - store_.failed_at() < kStoreUnsteady;
+  endpoints_.Apply(entries, unsteady ? kReturnGrace : duration::zero(), now);
+  orders_.OnEndpoints(now);
+  orders_.Tick(now);
+  queue_.WakeAll();
+}
+
+void gateway_node::Register() {
+  config::json_value::object fields;
+  fields.push_back(
+      {kAddressField, config::json_value(settings_.peer_address())});
+  register_call_ = store_.Write(
+      {kNodeTable, settings_.node.value(),
+       config::WriteJson(config::json_value(std::move(fields))), std::nullopt},
+      [this](const store_answer& answer) { OnRegistered(answer); });
+}
+
+void gateway_node::OnRegistered(const store_answer& answer) {
+  if (answer.status != store_status::done)
+    return register_timer_.Start(kRegisterRetry, [this] { Register(); });
+  ReadPeers();
+}
+
+void gateway_node::ReadPeers() {
+  register_call_ =
+      store_.Read(kNodeTable, "",
+                  [this](const store_answer& answer) { OnPeersRead(answer); });
+}
+
+// A node registers before it reads, so that of two nodes at least one knows the
+// other and tells it by its first digest.
+void gateway_node::OnPeersRead(const store_answer& answer) {
+  if (answer.status != store_status::done)
+    return register_timer_.Start(kRegisterRetry, [this] { ReadPeers(); });
+  const time_point now = boot_clock::now();
+  for (const table_row& row : answer.page.rows) {
+    const auto parsed = config::ParseJson(row.value);
+    if (parsed)
+      peers_.Add(vm_id(row.key), parsed.value().StringOr(kAddressField, ""),
+                 now);
+    else
+      log_.Write(report::log_level::warning, "registration_unreadable",
+                 {{"node", row.key}, {"reason", parsed.error().message}});
+  }
+  SendDigest();
+}
+
+void gateway_node::OnPeerMessage(const peer_message& message) {
+  const time_point now = boot_clock::now();
+  if (const auto* notice = std::get_if<load_notice>(&message)) {
+    endpoints_.OnNotice(*notice, now);
+    if (notice->change == load_change::loading)
+      queue_.SetReadyAt(notice->model, now + Milliseconds(notice->ready_in_ms));
+    queue_.WakeAll();
+    return;
+  }
+  const auto& digest = std::get<peer_digest>(message);
+  endpoints_.OnDigest(digest);
+  limiter_.OnDigest(digest, now);
+  suspects_.OnDigest(digest, now);
+  orders_.OnDigest(digest, now);
+  for (auto [table, change] :
+       {std::pair{&site_rows_, digest.site_change},
+        std::pair{&endpoint_rows_, digest.endpoints_change}}) {
+    if (revision(change) <= table->last_change())
+      continue;
+    if (table->cut_off() || table->version() == revision(0))
+      relay_.Fetch(digest.facts_address, digest.node, *table);
+    else
+      table->OnNewerElsewhere(revision(change));
+  }
+  if (orders_.holds(now))
+    orders_.Tick(now);
+}
+
+void gateway_node::OnPeerGone(const vm_id& node) {
+  endpoints_.ForgetPeer(node);
+  limiter_.ForgetPeer(node);
+  orders_.ForgetPeer(node);
+}
+
+// What this node decides about placement concerns itself as well.
+void gateway_node::OnNotice(const load_notice& notice) {
+  peers_.SendToAll(notice);
+  const time_point now = boot_clock::now();
+  endpoints_.OnNotice(notice, now);
+  if (notice.change == load_change::loading)
+    queue_.SetReadyAt(notice.model, now + Milliseconds(notice.ready_in_ms));
+  boost::asio::post(loop_, [this] { queue_.WakeAll(); });
+}
+
+peer_digest gateway_node::MakeDigest(time_point now) {
+  peer_digest digest;
+  digest.node = settings_.node;
+  digest.zone = settings_.zone;
+  digest.incarnation = incarnation_;
+  digest.sequence = ++sequence_;
+  digest.facts_address = settings_.metrics_address();
+  digest.site_change = site_rows_.last_change().count();
+  digest.endpoints_change = endpoint_rows_.last_change().count();
+  if (orders_.holds(now)) {
+    digest.authority_epoch = orders_.lease().fencing().count();
+    digest.authority_version = orders_.lease().version().count();
+  }
+  digest.teams = limiter_.Used();
+  digest.endpoints = endpoints_.Running();
+  digest.models = queue_.Demand(now);
+  digest.crashes = suspects_.Counts(now);
+  digest.leaving = stopping_;
+  return digest;
+}
+
+void gateway_node::SendDigest() {
+  const time_point now = boot_clock::now();
+  const peer_digest digest = MakeDigest(now);
+  peers_.SendToAll(digest);
+  orders_.OnDigest(digest, now);
+  if (orders_.holds(now))
+    orders_.Tick(now);
+}
+
+void gateway_node::ScheduleDigest() {
+  digest_timer_.Start(kDigestInterval, [this] {
+    SendDigest();
+    ScheduleDigest();
+  });
+}
+
+void gateway_node::Tick() {
+  const time_point now = boot_clock::now();
+  peers_.Check(now);
+  const int64_t nodes = peers_.node_count();
+  limiter_.SetNodeCount(nodes);
+  retries_.SetNodes(nodes);
+  endpoints_.DropMissing(now);
+  orders_.Tick(now);
+  if (queue_.size() > 0)
+    queue_.WakeAll();
+  if (IsReady() != was_ready_) {
+    was_ready_ = !was_ready_;
+    log_.Write(report::log_level::info, was_ready_ ? "ready" : "not_ready",
+               {{"site_version", context_.site ? context_.site->version() : 0},
+                {"endpoints_version", endpoint_rows_.version().count()}});
+  }
+  tick_timer_.Start(kTickInterval, [this] { Tick(); });
+}
+
+void gateway_node::BeginStop() {
+  if (stopping_)
+    return;
+  stopping_ = true;
+  stop_began_ = boot_clock::now();
+  log_.Write(report::log_level::info, "stopping",
+             {{"busy", static_cast<int64_t>(callers_.busy_count())}});
+  orders_.BeginStop(stop_began_);
+  callers_.BeginDrain();
+  SendDigest();
+  ContinueStop();
+}
+
+// Serves on until the balancer sends nothing new and all answers have ended,
+// or until the grace period is nearly over.
+void gateway_node::ContinueStop() {
+  const duration age = boot_clock::now() - stop_began_;
+  if (age > kLameDuck)
+    callers_.StopAccepting();
+  const bool over = age > settings_.bounds.grace - kExitMargin;
+  const bool done = age > kLameDuck && callers_.busy_count() == 0 &&
+                    callers_.connection_count() == 0;
+  if (over || done) {
+    loop_.stop();
+    return;
+  }
+  stop_timer_.Start(kStopCheck, [this] { ContinueStop(); });
+}
+
+}  // namespace jasminepath::gateway
--- /dev/null
+++ b/packages/gateway/src/gateway_node.h
@@ -0,0 +1,101 @@
+#ifndef JASMINEPATH_GATEWAY_SRC_GATEWAY_NODE_H_
+#define JASMINEPATH_GATEWAY_SRC_GATEWAY_NODE_H_
+
+#include <boost/asio/signal_set.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+
+#include "call_context.h"
+#include "fact_relay.h"
+#include "jasminepath/base/random.h"
+#include "jasminepath/gateway/gateway_app.h"
+#include "jasminepath/http/server.h"
+#include "order_desk.h"
+#include "peer_group.h"
+#include "store_client.h"
+#include "table_follower.h"
+
+namespace jasminepath::gateway {
+
+// Joins the parts of a node: hands requests to call sessions, facts to those
+// who decide by them, and what peers say to those whom it concerns.
+class gateway_node {
+ public:
+  gateway_node(const gateway_settings& settings,
+               const boost::asio::ip::tcp::endpoint& store,
+               const dialect& speech,
+               settings_reader reader);
+  ~gateway_node();
+
+  result<void, std::string> Open();
+  void Run();
+  void BeginStop();
+  unsigned short caller_port() const { return callers_.port(); }
+
+ private:
+  void AcceptCall(http::request message, std::shared_ptr<http::exchange> reply);
+  void AnswerProbe(const http::request& message,
+                   const std::shared_ptr<http::exchange>& reply);
+  void AnswerInner(const http::request& message,
+                   const std::shared_ptr<http::exchange>& reply);
+  gateway_gauges Gauges() const;
+
+  void OnSiteRows();
+  void OnEndpointRows();
+  void Register();
+  void OnRegistered(const store_answer& answer);
+  void ReadPeers();
+  void OnPeersRead(const store_answer& answer);
+
+  void OnPeerMessage(const peer_message& message);
+  void OnPeerGone(const vm_id& node);
+  void OnNotice(const load_notice& notice);
+  peer_digest MakeDigest(time_point now);
+  void SendDigest();
+  void ScheduleDigest();
+
+  void Tick();
+  void WatchSignals();
+  void Reload();
+  void ContinueStop();
+  bool IsReady() const;
+
+  gateway_settings settings_;
+  const dialect& speech_;
+  settings_reader reader_;
+  http::event_loop loop_;
+  uint64_t incarnation_;
+  random_engine random_;
+  report::event_log log_;
+  gateway_metrics metrics_;
+  endpoint_pool endpoints_;
+  fleet_rate_limiter limiter_;
+  retry_budgets retries_;
+  wait_queue queue_;
+  crash_suspects suspects_;
+  call_context context_;
+  store_client store_;
+  table_follower site_rows_;
+  table_follower endpoint_rows_;
+  order_desk orders_;
+  peer_group peers_;
+  fact_relay relay_;
+  http::server callers_;
+  http::server probes_;
+  http::server inner_;
+  boost::asio::signal_set signals_;
+  http::timer tick_timer_;
+  http::timer digest_timer_;
+  http::timer stop_timer_;
+  http::timer register_timer_;
+  store_client::handle register_call_;
+  uint64_t sequence_ = 0;
+  bool was_ready_ = false;
+  bool stopping_ = false;
+  time_point stop_began_{};
+};
+
+}  // namespace jasminepath::gateway
+
+#endif  // JASMINEPATH_GATEWAY_SRC_GATEWAY_NODE_H_
--- /dev/null
+++ b/packages/gateway/src/peer_digest.cc
@@ -0,0 +1,165 @@
+#include "jasminepath/gateway/peer_digest.h"
+
+#define MSGPACK_NO_BOOST
+#include <msgpack.hpp>
+
+#include <exception>
+#include <utility>
+
+namespace jasminepath::gateway {
+namespace {
+
+// Format of the messages; another one is not read.
+constexpr uint32_t kFormat = 1;
+constexpr uint32_t kDigestKind = 1;
+constexpr uint32_t kNoticeKind = 2;
+
+// Calls `visit` with each field, in the order in which they are sent.
+template <typename Message, typename Visitor>
+requires std::is_same_v<std::remove_const_t<Message>, team_use>
+void ForEachField(Message& m, Visitor&& visit) {
+  visit(m.team, m.tokens);
+}
+template <typename Message, typename Visitor>
+requires std::is_same_v<std::remove_const_t<Message>, endpoint_use>
+void ForEachField(Message& m, Visitor&& visit) {
+  visit(m.endpoint, m.running);
+}
+template <typename Message, typename Visitor>
+requires std::is_same_v<std::remove_const_t<Message>, model_use>
+void ForEachField(Message& m, Visitor&& visit) {
+  visit(m.model, m.adapter, m.waiting, m.arrivals);
+}
+template <typename Message, typename Visitor>
+requires std::is_same_v<std::remove_const_t<Message>, crash_count>
+void ForEachField(Message& m, Visitor&& visit) {
+  visit(m.fingerprint, m.crashes);
+}
+template <typename Message, typename Visitor>
+requires std::is_same_v<std::remove_const_t<Message>, peer_digest>
+void ForEachField(Message& m, Visitor&& visit) {
+  visit(m.node, m.zone, m.incarnation, m.sequence, m.facts_address,
+        m.site_change, m.endpoints_change, m.authority_epoch,
+        m.authority_version, m.teams, m.endpoints, m.models, m.crashes,
+        m.leaving);
+}
+template <typename Message, typename Visitor>
+requires std::is_same_v<std::remove_const_t<Message>, load_notice>
+void ForEachField(Message& m, Visitor&& visit) {
+  visit(m.authority_epoch, m.endpoint, m.model, m.adapter, m.change,
+        m.ready_in_ms);
+}
+
+using packer = msgpack::packer<msgpack::sbuffer>;
+
+template <typename T>
+void Pack(packer& out, const T& value);
+
+template <typename T>
+void Pack(packer& out, const std::vector<T>& items) {
+  out.pack_array(static_cast<uint32_t>(items.size()));
+  for (const T& item : items)
+    Pack(out, item);
+}
+
+template <typename Tag>
+void Pack(packer& out, const strong_id<Tag>& id) {
+  out.pack(id.value());
+}
+
+template <typename T>
+void Pack(packer& out, const T& value) {
+  if constexpr (std::is_enum_v<T>) {
+    out.pack(static_cast<int64_t>(value));
+  } else if constexpr (std::is_class_v<T> && !std::is_same_v<T, std::string>) {
+    ForEachField(value, [&out](const auto&... fields) {
+      out.pack_array(sizeof...(fields));
+      (Pack(out, fields), ...);
+    });
+  } else {
+    out.pack(value);
+  }
+}
+
+template <typename T>
+void Unpack(const msgpack::object& from, T& value);
+
+template <typename T>
+void Unpack(const msgpack::object& from, std::vector<T>& items) {
+  if (from.type != msgpack::type::ARRAY)
+    throw msgpack::type_error();
+  items.resize(from.via.array.size);
+  for (uint32_t i = 0; i < from.via.array.size; ++i)
+    Unpack(from.via.array.ptr[i], items[i]);
+}
+
+template <typename Tag>
+void Unpack(const msgpack::object& from, strong_id<Tag>& id) {
+  id = strong_id<Tag>(from.as<std::string>());
+}
+
+void Unpack(const msgpack::object& from, load_change& change) {
+  const auto number = from.as<int64_t>();
+  if (number < 0 || number > static_cast<int64_t>(load_change::closing))
+    throw msgpack::type_error();
+  change = static_cast<load_change>(number);
+}
+
+template <typename T>
+void Unpack(const msgpack::object& from, T& value) {
+  if constexpr (std::is_class_v<T> && !std::is_same_v<T, std::string>) {
+    ForEachField(value, [&from](auto&... fields) {
+      if (from.type != msgpack::type::ARRAY ||
+          from.via.array.size != sizeof...(fields))
+        throw msgpack::type_error();
+      uint32_t index = 0;
+      (Unpack(from.via.array.ptr[index++], fields), ...);
+    });
+  } else {
+    from.convert(value);
+  }
+}
+
+template <typename Message>
+peer_message UnpackMessage(const msgpack::object& from) {
+  Message message;
+  Unpack(from, message);
+  return message;
+}
+
+}  // namespace
+
+std::string EncodePeerMessage(const peer_message& message) {
+  msgpack::sbuffer buffer;
+  packer out(buffer);
+  out.pack_array(3);
+  out.pack(kFormat);
+  out.pack(std::holds_alternative<peer_digest>(message) ? kDigestKind
+                                                        : kNoticeKind);
+  std::visit([&out](const auto& content) { Pack(out, content); }, message);
+  return {buffer.data(), buffer.size()};
+}
+
+std::optional<peer_message> DecodePeerMessage(std::string_view bytes) {
+  try {
+    const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+    const msgpack::object& root = handle.get();
+    if (root.type != msgpack::type::ARRAY || root.via.array.size != 3 ||
+        root.via.array.ptr[0].as<uint32_t>() != kFormat)
+      return std::nullopt;
+    const msgpack::object& content = root.via.array.ptr[2];
+    switch (root.via.array.ptr[1].as<uint32_t>()) {
+      case kDigestKind:
+        return UnpackMessage<peer_digest>(content);
+      case kNoticeKind:
+        return UnpackMessage<load_notice>(content);
+      default:
+        return std::nullopt;
+    }
+  } catch (const std::exception&) {
+    // The caller counts and logs datagrams that cannot be read.
+    return std::nullopt;
+  }
+}
+
+}  // namespace jasminepath::gateway
--- /dev/null
+++ b/packages/gateway/src/store_client.cc
@@ -0,0 +1,111 @@
+#include "store_client.h"
+
+namespace jasminepath::gateway {
+namespace {
+
+// Time limit of a call that the store answers at once: many times its usual
+// few milliseconds, so that a slow store still serves.
+constexpr duration kCallTimeout = Milliseconds(1200);
+// Allowed on top of the time that a poll asks the store to wait.
+constexpr duration kPollMargin = Milliseconds(1000);
+
+}  // namespace
+
+store_client::store_client(http::event_loop& loop,
+                           const boost::asio::ip::tcp::endpoint& address,
+                           const store_codec& codec,
+                           report::event_log& log)
+    : loop_(loop), client_(loop, address), codec_(codec), log_(log) {}
+
+store_client::handle store_client::Read(const std::string& table,
+                                        const std::string& from_key,
+                                        callback done) {
+  return Start(codec_.EncodeRead(table, from_key), kCallTimeout, true,
+               std::move(done));
+}
+
+store_client::handle store_client::Poll(const std::string& table,
+                                        revision after,
+                                        duration wait,
+                                        callback done) {
+  return Start(codec_.EncodePoll(table, after, wait), wait + kPollMargin, true,
+               std::move(done));
+}
+
+store_client::handle store_client::Write(const conditional_write& write,
+                                         callback done) {
+  return Start(codec_.EncodeWrite(write), kCallTimeout, false, std::move(done));
+}
+
+store_client::handle store_client::Start(const http::request& message,
+                                         duration timeout,
+                                         bool expects_rows,
+                                         callback done) {
+  ++calls_;
+  return std::make_unique<http::whole_call>(
+      loop_, client_, message, timeout,
+      [this, expects_rows, done = std::move(done)](const http::response* answer,
+                                                   http::call_failure failure) {
+        done(Interpret(answer, failure, expects_rows));
+      });
+}
+
+store_answer store_client::Interpret(const http::response* answer,
+                                     http::call_failure failure,
+                                     bool expects_rows) {
+  store_answer out;
+  if (answer == nullptr) {
+    out.status = failure == http::call_failure::not_sent
+                     ? store_status::unavailable
+                     : store_status::unknown;
+    Note(false, std::string(http::NameOf(failure)));
+    return out;
+  }
+  out.status = codec_.StatusOf(*answer);
+  if (out.status == store_status::unavailable ||
+      out.status == store_status::unknown) {
+    Note(false, "status " + std::to_string(answer->head.status));
+    return out;
+  }
+  if (out.status == store_status::done) {
+    std::string fault;
+    if (expects_rows) {
+      auto page = codec_.DecodeRows(*answer);
+      if (page)
+        out.page = std::move(page).value();
+      else
+        fault = page.error().message;
+    } else {
+      const auto written = codec_.DecodeWritten(*answer);
+      if (written)
+        out.written = written.value();
+      else
+        fault = written.error().message;
+    }
+    if (!fault.empty()) {
+      out.status = store_status::unknown;
+      Note(false, fault);
+      return out;
+    }
+  }
+  Note(true, "");
+  return out;
+}
+
+void store_client::Note(bool served, const std::string& reason) {
+  if (!served) {
+    failed_at_ = boot_clock::now();
+    ++failures_;
+  }
+  if (served == reachable_)
+    return;
+  reachable_ = served;
+  if (served)
+    log_.Write(report::log_level::info, "store_regained",
+               {{"calls", calls_}, {"failures", failures_}});
+  else
+    log_.Write(report::log_level::warning, "store_lost",
+               {{"reason", reason}, {"calls", calls_}});
+}
+
+}  // namespace jasminepath::gateway
--- /dev/null
+++ b/packages/gateway/src/store_client.h
@@ -0,0 +1,79 @@
+#ifndef JASMINEPATH_GATEWAY_SRC_STORE_CLIENT_H_
+#define JASMINEPATH_GATEWAY_SRC_STORE_CLIENT_H_
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+
+#include "jasminepath/gateway/ports.h"
+#include "jasminepath/http/client.h"
+#include "jasminepath/report/event_log.h"
+
+namespace jasminepath::gateway {
+
+// The outcome of a call to the store.
+struct store_answer {
+  store_status status = store_status::unknown;
+  // Rows of a read or poll.
+  row_page page;
+  // Version that a write got.
+  revision written;
+
+  friend bool operator==(const store_answer&, const store_answer&) = default;
+};
+
+// The one client of the platform's store. Each call has a time limit; a
+// connection on which an answer is missing is not used again. Logs when the
+// store is lost and when it is back. Runs on the loop.
+class store_client {
+ public:
+  using callback = std::function<void(const store_answer& answer)>;
+
+  store_client(http::event_loop& loop,
+               const boost::asio::ip::tcp::endpoint& address,
+               const store_codec& codec,
+               report::event_log& log);
+
+  // Calls in progress end without a callback when their handle is destroyed.
+  using handle = std::unique_ptr<http::whole_call>;
+
+  [[nodiscard]] handle Read(const std::string& table,
+                            const std::string& from_key,
+                            callback done);
+  [[nodiscard]] handle Poll(const std::string& table,
+                            revision after,
+                            duration wait,
+                            callback done);
+  [[nodiscard]] handle Write(const conditional_write& write, callback done);
+
+  // Calls that the store did not serve, the last time and since the start.
+  time_point failed_at() const { return failed_at_; }
+  int64_t calls() const { return calls_; }
+  int64_t failures() const { return failures_; }
+  bool reachable() const { return reachable_; }
+
+ private:
+  handle Start(const http::request& message,
+               duration timeout,
+               bool expects_rows,
+               callback done);
+  store_answer Interpret(const http::response* answer,
+                         http::call_failure failure,
+                         bool expects_rows);
+  void Note(bool served, const std::string& reason);
+
+  http::event_loop& loop_;
+  http::client client_;
+  const store_codec& codec_;
+  report::event_log& log_;
+  time_point failed_at_{};
+  int64_t calls_ = 0;
+  int64_t failures_ = 0;
+  bool reachable_ = true;
+};
+
+}  // namespace jasminepath::gateway
+
+#endif  // JASMINEPATH_GATEWAY_SRC_STORE_CLIENT_H_
--- /dev/null
+++ b/packages/gateway/src/table_follower.cc
@@ -0,0 +1,137 @@
+#include "table_follower.h"
+
+#include <algorithm>
+
+namespace jasminepath::gateway {
+namespace {
+
+// How long the store holds a poll without changes. Peers tell of changes that
+// a silent connection hides, so it may be long.
+constexpr duration kPollWait = Seconds(15);
+// First pause after a failed call; doubles up to the longest.
+constexpr duration kFirstRetry = Milliseconds(100);
+constexpr duration kLongestRetry = Milliseconds(800);
+// Time that the pending poll gets after a peer has shown a newer version.
+constexpr duration kHurryDelay = Milliseconds(300);
+
+}  // namespace
+
+table_follower::table_follower(http::event_loop& loop,
+                               store_client& store,
+                               std::string table,
+                               random_engine& random,
+                               std::function<void()> on_change)
+    : loop_(loop),
+      store_(store),
+      table_(std::move(table)),
+      random_(random),
+      on_change_(std::move(on_change)),
+      timer_(loop),
+      hurry_(loop) {}
+
+void table_follower::Start() {
+  from_key_.clear();
+  incoming_.clear();
+  ReadNext();
+}
+
+void table_follower::ReadNext() {
+  polling_ = false;
+  call_ = store_.Read(table_, from_key_,
+                      [this](const store_answer& a) { OnRead(a); });
+}
+
+void table_follower::OnRead(const store_answer& answer) {
+  if (answer.status != store_status::done)
+    return Retry();
+  failures_ = 0;
+  for (const table_row& row : answer.page.rows)
+    incoming_[row.key] = row;
+  if (answer.page.more && !answer.page.rows.empty()) {
+    // The next page begins right after the last key of this one.
+    from_key_ = answer.page.rows.back().key + '\x01';
+    return ReadNext();
+  }
+  // A read over several pages is as of its first page at the earliest; changes
+  // since then come with the polls.
+  if (answer.page.version >= version_) {
+    rows_ = std::move(incoming_);
+    version_ = answer.page.version;
+    for (const auto& [key, row] : rows_)
+      last_change_ = std::max(last_change_, row.version);
+    on_change_();
+  }
+  incoming_.clear();
+  from_key_.clear();
+  Poll();
+}
+
+void table_follower::Poll() {
+  polling_ = true;
+  call_ = store_.Poll(table_, version_, kPollWait,
+                      [this](const store_answer& a) { OnPolled(a); });
+}
+
+void table_follower::OnPolled(const store_answer& answer) {
+  hurry_.Cancel();
+  if (answer.status == store_status::history_gone)
+    return Start();
+  if (answer.status != store_status::done)
+    return Retry();
+  failures_ = 0;
+  bool changed = false;
+  for (const table_row& row : answer.page.rows) {
+    const auto known = rows_.find(row.key);
+    if (known != rows_.end() && known->second.version >= row.version)
+      continue;
+    changed = true;
+    last_change_ = std::max(last_change_, row.version);
+    if (row.removed)
+      rows_.erase(row.key);
+    else
+      rows_[row.key] = row;
+  }
+  version_ = std::max(version_, answer.page.version);
+  if (changed)
+    on_change_();
+  Poll();
+}
+
+void table_follower::Retry() {
+  const duration longest =
+      std::min(kFirstRetry * (1 << std::min(failures_, 6)), kLongestRetry);
+  ++failures_;
+  std::uniform_int_distribution<int64_t> pause(longest.count() / 2,
+                                               longest.count());
+  timer_.Start(duration(pause(random_)), [this] {
+    if (polling_)
+      Poll();
+    else
+      Start();
+  });
+}
+
+void table_follower::Adopt(const std::vector<table_row>& rows,
+                           revision version,
+                           revision last_change) {
+  if (version <= version_ || last_change <= last_change_)
+    return;
+  rows_.clear();
+  for (const table_row& row : rows)
+    rows_[row.key] = row;
+  version_ = version;
+  last_change_ = last_change;
+  on_change_();
+}
+
+void table_follower::OnNewerElsewhere(revision last_change) {
+  if (!polling_ || last_change <= last_change_ || failures_ > 0)
+    return;
+  const revision before = version_;
+  hurry_.Start(kHurryDelay, [this, before] {
+    if (polling_ && version_ == before && failures_ == 0)
+      Poll();
+  });
+}
+
+}  // namespace jasminepath::gateway
--- /dev/null
+++ b/packages/gateway/src/table_follower.h
@@ -0,0 +1,77 @@
+#ifndef JASMINEPATH_GATEWAY_SRC_TABLE_FOLLOWER_H_
+#define JASMINEPATH_GATEWAY_SRC_TABLE_FOLLOWER_H_
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "jasminepath/base/random.h"
+#include "store_client.h"
+
+namespace jasminepath::gateway {
+
+// Keeps a copy of one table of the store, by reading it once and then polling
+// for changes. Reads it anew when the store no longer knows the changes. Rows
+// may also come from peers; a row never goes back to an older version. Runs on
+// the loop.
+class table_follower {
+ public:
+  // `on_change` is called after each change of the copy.
+  table_follower(http::event_loop& loop,
+                 store_client& store,
+                 std::string table,
+                 random_engine& random,
+                 std::function<void()> on_change);
+
+  void Start();
+
+  // The rows that exist.
+  const std::map<std::string, table_row>& rows() const { return rows_; }
+  // Version as of which the copy is complete; 0 before the first read.
+  revision version() const { return version_; }
+  // Version of the last change that the copy shows. Unlike version(), it is
+  // the same on all nodes that know the same rows.
+  revision last_change() const { return last_change_; }
+  const std::string& table() const { return table_; }
+
+  // Takes a complete copy of a peer, as of a version, if it is newer.
+  void Adopt(const std::vector<table_row>& rows,
+             revision version,
+             revision last_change);
+
+  // A peer knows a newer change: the pending poll may be on a connection that
+  // has gone silent.
+  void OnNewerElsewhere(revision last_change);
+
+  // Whether the store has failed the last call.
+  bool cut_off() const { return failures_ > 0; }
+
+ private:
+  void ReadNext();
+  void Poll();
+  void OnRead(const store_answer& answer);
+  void OnPolled(const store_answer& answer);
+  void Retry();
+
+  http::event_loop& loop_;
+  store_client& store_;
+  std::string table_;
+  random_engine& random_;
+  std::function<void()> on_change_;
+  http::timer timer_;
+  http::timer hurry_;
+  store_client::handle call_;
+  std::map<std::string, table_row> rows_;
+  std::map<std::string, table_row> incoming_;
+  std::string from_key_;
+  revision version_;
+  revision last_change_;
+  bool polling_ = false;
+  int failures_ = 0;
+};
+
+}  // namespace jasminepath::gateway
+
+#endif  // JASMINEPATH_GATEWAY_SRC_TABLE_FOLLOWER_H_
--- a/packages/node/src/event_stream_splitter.h
+++ b/packages/http/include/jasminepath/http/event_stream_splitter.h
@@ -1,12 +1,12 @@
-#ifndef JASMINEPATH_NODE_EVENT_STREAM_SPLITTER_H_
-#define JASMINEPATH_NODE_EVENT_STREAM_SPLITTER_H_
+#ifndef JASMINEPATH_HTTP_EVENT_STREAM_SPLITTER_H_
+#define JASMINEPATH_HTTP_EVENT_STREAM_SPLITTER_H_
 
 #include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
 
-namespace jasminepath::node {
+namespace jasminepath::http {
 
 // What one server-sent event of a model stream says.
 struct stream_event {
@@ -30,6 +30,9 @@
   // Takes the next whole event, if there is one.
   std::optional<stream_event> Next();
 
+  // Whether an event has begun and not ended.
+  bool HasPartial() const { return !buffer_.empty(); }
+
   // Drops an unfinished event, before a stream is resumed.
   void Reset();
 
@@ -37,6 +40,6 @@
   std::string buffer_;
 };
 
-}  // namespace jasminepath::node
+}  // namespace jasminepath::http
 
-#endif  // JASMINEPATH_NODE_EVENT_STREAM_SPLITTER_H_
+#endif  // JASMINEPATH_HTTP_EVENT_STREAM_SPLITTER_H_
--- /dev/null
+++ b/packages/http/src/client.cc
@@ -0,0 +1,128 @@
+#include "jasminepath/http/client.h"
+
+#include "client_connection.h"
+
+namespace jasminepath::http {
+namespace {
+
+// Largest body that a whole call takes, in bytes.
+constexpr std::size_t kMaxWholeBody = std::size_t{32} << 20;
+
+}  // namespace
+
+std::string_view NameOf(call_failure failure) {
+  switch (failure) {
+    case call_failure::not_sent:
+      return "not_sent";
+    case call_failure::broken:
+      return "broken";
+    case call_failure::malformed:
+      return "malformed";
+    case call_failure::timed_out:
+      return "timed_out";
+  }
+  return "unknown";
+}
+
+call::call(std::shared_ptr<client_connection> connection)
+    : connection_(std::move(connection)) {}
+
+call::~call() {
+  connection_->Cancel();
+}
+
+void call::Pause() {
+  connection_->Pause();
+}
+
+void call::Resume() {
+  connection_->Resume();
+}
+
+client::client(event_loop& loop, boost::asio::ip::tcp::endpoint peer)
+    : pool_(std::make_shared<pool>(loop, std::move(peer))) {}
+
+client::~client() {
+  CloseIdle();
+}
+
+std::unique_ptr<call> client::Send(std::string bytes,
+                                   bool is_head,
+                                   const call_options& options,
+                                   response_sink& sink) {
+  const time_point now = boot_clock::now();
+  std::shared_ptr<client_connection> connection;
+  while (!connection && !pool_->idle.empty() &&
+         options.reuse_within > duration::zero()) {
+    auto candidate = pool_->idle.back();
+    pool_->idle.pop_back();
+    if (now < candidate->usable_until() &&
+        now - candidate->idle_since() <= options.reuse_within)
+      connection = std::move(candidate);
+    else
+      candidate->Close();
+  }
+  if (!connection)
+    connection = std::make_shared<client_connection>(pool_);
+  auto started = std::make_unique<call>(connection);
+  connection->Begin(std::move(bytes), is_head, options, &sink);
+  return started;
+}
+
+std::size_t client::opened() const {
+  return pool_->opened;
+}
+
+void client::CloseIdle() {
+  const auto idle = std::move(pool_->idle);
+  pool_->idle.clear();
+  for (const auto& connection : idle)
+    connection->Close();
+}
+
+whole_call::whole_call(event_loop& loop,
+                       client& peer,
+                       const request& message,
+                       duration timeout,
+                       callback done)
+    : done_(std::move(done)), timer_(loop) {
+  call_options options;
+  options.connect_timeout = std::min<duration>(timeout, Seconds(1));
+  options.head_timeout = timeout;
+  timer_.Start(timeout, [this] { OnFailure(call_failure::timed_out); });
+  call_ =
+      peer.Send(Serialize(message), message.method == "HEAD", options, *this);
+}
+
+whole_call::~whole_call() = default;
+
+bool whole_call::OnHead(const response_head& head) {
+  answer_.head = head;
+  return true;
+}
+
+void whole_call::OnBody(std::string_view piece) {
+  if (answer_.body.size() + piece.size() > kMaxWholeBody)
+    return OnFailure(call_failure::malformed);
+  answer_.body.append(piece);
+}
+
+void whole_call::OnEnd() {
+  const response answer = std::move(answer_);
+  Complete(&answer, call_failure::not_sent);
+}
+
+void whole_call::OnFailure(call_failure failure) {
+  Complete(nullptr, failure);
+}
+
+void whole_call::Complete(const response* answer, call_failure failure) {
+  timer_.Cancel();
+  call_.reset();
+  const callback done = std::move(done_);
+  done_ = nullptr;
+  if (done)
+    done(answer, failure);
+}
+
+}  // namespace jasminepath::http
--- /dev/null
+++ b/packages/http/src/client_connection.cc
@@ -0,0 +1,280 @@
+#include "client_connection.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <charconv>
+
+namespace jasminepath::http {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using boost::system::error_code;
+
+// How long sent data may stay unacknowledged before the kernel gives the
+// connection up, in milliseconds.
+constexpr int kUserTimeoutMs = 3000;
+// Share of the peer's announced idle timeout after which a connection is no
+// longer used, so that the peer's close does not cross a request.
+constexpr int kIdleTimeoutPercent = 70;
+// Largest head of an answer, in bytes.
+constexpr uint32_t kMaxAnswerHead = 65536;
+
+using user_timeout =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+// The announced idle timeout of a Keep-Alive field, or nothing.
+std::optional<duration> IdleTimeout(std::string_view field) {
+  constexpr std::string_view kTimeout = "timeout=";
+  const std::size_t start = field.find(kTimeout);
+  if (start == std::string_view::npos)
+    return std::nullopt;
+  int64_t seconds = 0;
+  const char* first = field.data() + start + kTimeout.size();
+  const auto parsed =
+      std::from_chars(first, field.data() + field.size(), seconds);
+  if (parsed.ec != std::errc() || seconds < 0 || seconds > 86400)
+    return std::nullopt;
+  return Seconds(seconds);
+}
+
+}  // namespace
+
+client_connection::client_connection(std::shared_ptr<client::pool> pool)
+    : pool_(std::move(pool)), socket_(pool_->loop), timer_(pool_->loop) {}
+
+void client_connection::Begin(std::string bytes,
+                              bool is_head,
+                              const call_options& options,
+                              response_sink* sink) {
+  output_ = std::move(bytes);
+  is_head_ = is_head;
+  options_ = options;
+  sink_ = sink;
+  written_ = sent_any_ = paused_ = false;
+  NewParser();
+  if (connected_)
+    Write();
+  else
+    Connect();
+}
+
+void client_connection::NewParser() {
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(kMaxAnswerHead);
+  parser_->body_limit(boost::none);
+  parser_->skip(is_head_);
+  head_seen_ = skipping_ = false;
+}
+
+void client_connection::Connect() {
+  ++pool_->opened;
+  const auto weak = weak_from_this();
+  timer_.Start(options_.connect_timeout, [weak] {
+    if (auto self = weak.lock())
+      self->Fail(call_failure::not_sent);
+  });
+  socket_.async_connect(
+      pool_->peer, [self = shared_from_this()](const error_code& error) {
+        if (self->closed_)
+          return;
+        if (error)
+          return self->Fail(call_failure::not_sent);
+        error_code ignored;
+        self->socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+        self->socket_.set_option(user_timeout(kUserTimeoutMs), ignored);
+        self->connected_ = true;
+        self->Write();
+        self->Read();
+      });
+}
+
+void client_connection::Write() {
+  sent_any_ = true;
+  const auto weak = weak_from_this();
+  timer_.Start(options_.head_timeout, [weak] {
+    if (auto self = weak.lock())
+      self->Fail(call_failure::timed_out);
+  });
+  asio::async_write(
+      socket_, asio::buffer(output_),
+      [self = shared_from_this()](const error_code& error, std::size_t) {
+        if (self->closed_)
+          return;
+        self->output_.clear();
+        self->written_ = !error;
+        // A failed write is reported by the pending read, after an answer that
+        // may have come before.
+        if (error && !self->reading_)
+          self->Fail(call_failure::broken);
+      });
+}
+
+void client_connection::Read() {
+  if (reading_ || closed_ || paused_)
+    return;
+  reading_ = true;
+  socket_.async_read_some(
+      asio::buffer(chunk_),
+      [self = shared_from_this()](const error_code& error, std::size_t length) {
+        self->reading_ = false;
+        if (self->closed_)
+          return;
+        if (error)
+          return self->OnReadError(error);
+        self->OnRead(length);
+      });
+}
+
+void client_connection::OnRead(std::size_t length) {
+  if (sink_ == nullptr)
+    return Close();
+  input_.append(chunk_.data(), length);
+  Parse();
+  Read();
+}
+
+void client_connection::OnReadError(const error_code& error) {
+  if (sink_ == nullptr)
+    return Close();
+  // Only an orderly close can end an answer without a length.
+  if (error == asio::error::eof && head_seen_ && !skipping_ &&
+      parser_->need_eof()) {
+    error_code end_error;
+    parser_->put_eof(end_error);
+    if (!end_error) {
+      response_sink* sink = sink_;
+      sink_ = nullptr;
+      const auto self = shared_from_this();
+      Close();
+      sink->OnEnd();
+      return;
+    }
+  }
+  Fail(call_failure::broken);
+}
+
+void client_connection::Parse() {
+  const auto self = shared_from_this();
+  while (sink_ != nullptr && !closed_ && !input_.empty()) {
+    error_code error;
+    const std::size_t used =
+        parser_->put(asio::buffer(input_.data(), input_.size()), error);
+    input_.erase(0, used);
+    if (error && error != beast::http::error::need_more)
+      return Fail(call_failure::malformed);
+    if (parser_->is_header_done() && !head_seen_ && !HandleHead())
+      return;
+    DeliverBody();
+    if (sink_ == nullptr || closed_)
+      return;
+    if (parser_->is_done()) {
+      HandleEnd();
+      continue;
+    }
+    if (used == 0 || error == beast::http::error::need_more)
+      return;
+  }
+}
+
+bool client_connection::HandleHead() {
+  head_seen_ = true;
+  const auto& message = parser_->get();
+  if (message.result_int() < 200)
+    return true;
+  response_head head;
+  head.status = static_cast<int>(message.result_int());
+  for (const auto& field : message)
+    head.headers.Add(std::string(field.name_string()),
+                     std::string(field.value()));
+  skipping_ = !sink_->OnHead(head);
+  if (sink_ == nullptr || closed_)
+    return false;
+  if (!skipping_)
+    timer_.Cancel();
+  usable_until_ = time_point::max();
+  if (const auto idle = IdleTimeout(head.headers.ValueOf("Keep-Alive")))
+    usable_until_ = boot_clock::now() + *idle * kIdleTimeoutPercent / 100;
+  return true;
+}
+
+void client_connection::DeliverBody() {
+  if (!head_seen_)
+    return;
+  std::string body = std::move(parser_->get().body());
+  parser_->get().body().clear();
+  if (!body.empty() && !skipping_)
+    sink_->OnBody(body);
+}
+
+void client_connection::HandleEnd() {
+  if (parser_->get().result_int() < 200 || skipping_) {
+    const bool reusable = parser_->keep_alive();
+    if (!reusable)
+      return Fail(call_failure::broken);
+    NewParser();
+    return;
+  }
+  // A peer that answered before it had the whole request may read the rest as
+  // the next request.
+  const bool reusable =
+      parser_->keep_alive() && written_ && input_.empty() && !paused_;
+  timer_.Cancel();
+  response_sink* sink = sink_;
+  sink_ = nullptr;
+  if (reusable) {
+    idle_since_ = boot_clock::now();
+    pool_->idle.push_back(shared_from_this());
+  } else {
+    Close();
+  }
+  sink->OnEnd();
+}
+
+void client_connection::Fail(call_failure failure) {
+  if (closed_)
+    return;
+  const auto self = shared_from_this();
+  response_sink* sink = sink_;
+  sink_ = nullptr;
+  const bool nothing_sent = !sent_any_;
+  Close();
+  if (sink != nullptr)
+    sink->OnFailure(nothing_sent ? call_failure::not_sent : failure);
+}
+
+void client_connection::Cancel() {
+  if (sink_ == nullptr)
+    return;
+  sink_ = nullptr;
+  Close();
+}
+
+void client_connection::Close() {
+  if (closed_)
+    return;
+  closed_ = true;
+  timer_.Cancel();
+  error_code ignored;
+  socket_.close(ignored);
+  std::erase_if(pool_->idle,
+                [this](const auto& other) { return other.get() == this; });
+}
+
+void client_connection::Pause() {
+  paused_ = true;
+}
+
+void client_connection::Resume() {
+  if (!paused_)
+    return;
+  paused_ = false;
+  Read();
+}
+
+}  // namespace jasminepath::http
--- /dev/null
+++ b/packages/http/src/client_connection.h
@@ -0,0 +1,88 @@
+#ifndef JASMINEPATH_HTTP_SRC_CLIENT_CONNECTION_H_
+#define JASMINEPATH_HTTP_SRC_CLIENT_CONNECTION_H_
+
+#include <array>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "jasminepath/http/client.h"
+
+namespace jasminepath::http {
+
+// Idle connections to one peer, the one used last at the end.
+struct client::pool {
+  pool(event_loop& shared_loop, boost::asio::ip::tcp::endpoint address)
+      : loop(shared_loop), peer(std::move(address)) {}
+
+  event_loop& loop;
+  boost::asio::ip::tcp::endpoint peer;
+  std::vector<std::shared_ptr<client_connection>> idle;
+  std::size_t opened = 0;
+};
+
+// One connection to a peer; carries one call at a time.
+class client_connection
+    : public std::enable_shared_from_this<client_connection> {
+ public:
+  explicit client_connection(std::shared_ptr<client::pool> pool);
+
+  // Begins a call; connects first if the connection is new.
+  void Begin(std::string bytes,
+             bool is_head,
+             const call_options& options,
+             response_sink* sink);
+  // Ends the call without an answer and closes the connection.
+  void Cancel();
+  void Close();
+  void Pause();
+  void Resume();
+
+  // When the last answer ended, and until when the peer keeps it open.
+  time_point idle_since() const { return idle_since_; }
+  time_point usable_until() const { return usable_until_; }
+  bool is_open() const { return !closed_; }
+
+ private:
+  using parser =
+      boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Connect();
+  void Write();
+  void Read();
+  void OnRead(std::size_t length);
+  void OnReadError(const boost::system::error_code& error);
+  void Parse();
+  bool HandleHead();
+  void NewParser();
+  void DeliverBody();
+  void HandleEnd();
+  void Fail(call_failure failure);
+
+  std::shared_ptr<client::pool> pool_;
+  boost::asio::ip::tcp::socket socket_;
+  timer timer_;
+  std::optional<parser> parser_;
+  std::array<char, 16384> chunk_;
+  std::string input_;
+  std::string output_;
+  response_sink* sink_ = nullptr;
+  call_options options_;
+  bool is_head_ = false;
+  bool connected_ = false;
+  bool written_ = false;
+  bool sent_any_ = false;
+  bool head_seen_ = false;
+  bool skipping_ = false;
+  bool reading_ = false;
+  bool paused_ = false;
+  bool closed_ = false;
+  time_point idle_since_{};
+  time_point usable_until_{};
+};
+
+}  // namespace jasminepath::http
+
+#endif  // JASMINEPATH_HTTP_SRC_CLIENT_CONNECTION_H_
--- a/packages/node/src/event_stream_splitter.cc
+++ b/packages/http/src/event_stream_splitter.cc
@@ -1,9 +1,9 @@
-#include "event_stream_splitter.h"
+#include "jasminepath/http/event_stream_splitter.h"
 
 #include <charconv>
 #include <utility>
 
-namespace jasminepath::node {
+namespace jasminepath::http {
 namespace {
 
 constexpr std::size_t kMaxEventBytes = 1 << 20;
@@ -76,4 +76,4 @@
   buffer_.clear();
 }
 
-}  // namespace jasminepath::node
+}  // namespace jasminepath::http
--- /dev/null
+++ b/packages/http/src/server_connection.h
@@ -0,0 +1,92 @@
+#ifndef JASMINEPATH_HTTP_SRC_SERVER_CONNECTION_H_
+#define JASMINEPATH_HTTP_SRC_SERVER_CONNECTION_H_
+
+#include <array>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_set>
+
+#include "jasminepath/http/server.h"
+
+namespace jasminepath::http {
+
+class server_connection;
+
+// What the connections of one server have in common.
+struct server_shared {
+  request_handler handler;
+  server_limits limits;
+  bool draining = false;
+  std::unordered_set<server_connection*> connections;
+  std::size_t busy = 0;
+};
+
+// One client's connection. Reads on while a request waits, so that a client's
+// departure is seen, and keeps what it reads for the next request.
+class server_connection
+    : public std::enable_shared_from_this<server_connection> {
+ public:
+  server_connection(event_loop& loop,
+                    boost::asio::ip::tcp::socket socket,
+                    std::shared_ptr<server_shared> shared);
+  ~server_connection();
+
+  void Start();
+  void Close();
+  // Closes the connection if no request is being read or answered.
+  void CloseIfIdle();
+
+  // Called by the exchange in progress.
+  void Send(std::string bytes);
+  void EndExchange(bool close);
+  bool WillClose() const { return close_after_answer_ || shared_->draining; }
+  std::size_t unsent_bytes() const { return unsent_.size() + sending_.size(); }
+  void OnSent(std::function<void()> callback);
+  void OnDeparture(std::function<void()> callback);
+
+ private:
+  using parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void Read();
+  void OnRead(std::size_t length);
+  void OnClosedByClient();
+  void Parse();
+  void NewParser();
+  bool HandleHead();
+  void HandleRequest();
+  void Reject(int status);
+  void Flush();
+  void Shutdown();
+
+  event_loop& loop_;
+  boost::asio::ip::tcp::socket socket_;
+  std::shared_ptr<server_shared> shared_;
+  timer timer_;
+  std::optional<parser> parser_;
+  std::array<char, 16384> chunk_;
+  // Bytes read and not parsed yet.
+  std::string input_;
+  bool reading_ = false;
+  bool head_seen_ = false;
+  time_point request_began_{};
+  bool busy_ = false;
+  bool close_after_answer_ = false;
+  bool closing_ = false;
+  bool closed_ = false;
+  bool parsing_ = false;
+  // Held from Start() until Close().
+  std::shared_ptr<server_connection> keep_alive_;
+  std::string sending_;
+  std::string unsent_;
+  std::function<void()> on_sent_;
+  std::function<void()> on_departure_;
+};
+
+}  // namespace jasminepath::http
+
+#endif  // JASMINEPATH_HTTP_SRC_SERVER_CONNECTION_H_
--- /dev/null
+++ b/packages/http/src/server_exchange.h
@@ -0,0 +1,43 @@
+#ifndef JASMINEPATH_HTTP_SRC_SERVER_EXCHANGE_H_
+#define JASMINEPATH_HTTP_SRC_SERVER_EXCHANGE_H_
+
+#include <memory>
+
+#include "jasminepath/http/server.h"
+#include "server_connection.h"
+
+namespace jasminepath::http {
+
+// The answer to one request, written to its connection as long as that lives.
+class server_exchange : public exchange {
+ public:
+  server_exchange(std::weak_ptr<server_connection> connection,
+                  time_point received_at,
+                  bool is_head);
+  // An exchange that nobody answered cuts its connection.
+  ~server_exchange() override;
+
+  time_point received_at() const override { return received_at_; }
+  void OnDeparture(std::function<void()> callback) override;
+  void Respond(response_head head, std::string_view body) override;
+  void Start(response_head head) override;
+  void Write(std::string_view piece) override;
+  void Finish() override;
+  void Abort() override;
+  std::size_t unsent_bytes() const override;
+  void OnSent(std::function<void()> callback) override;
+
+ private:
+  std::string HeadBytes(const response_head& head, bool close) const;
+
+  std::weak_ptr<server_connection> connection_;
+  time_point received_at_;
+  bool is_head_;
+  bool started_ = false;
+  bool ended_ = false;
+  bool close_ = false;
+};
+
+}  // namespace jasminepath::http
+
+#endif  // JASMINEPATH_HTTP_SRC_SERVER_EXCHANGE_H_
--- a/packages/node/tests/event_stream_splitter_test.cc
+++ b/packages/http/tests/event_stream_splitter_test.cc
@@ -1,9 +1,9 @@
-#include "event_stream_splitter.h"
+#include "jasminepath/http/event_stream_splitter.h"
 
 #include <boost/test/unit_test.hpp>
 #include <string>
 
-namespace jasminepath::node {
+namespace jasminepath::http {
 namespace {
 
 BOOST_AUTO_TEST_CASE(EventsComeWholeHoweverTheBytesAreCut) {
@@ -53,4 +53,4 @@
 }
 
 }  // namespace
-}  // namespace jasminepath::node
+}  // namespace jasminepath::http
--- a/packages/node/src/answer_relay.h
+++ b/packages/node/src/answer_relay.h
@@ -8,9 +8,9 @@
 #include <string_view>
 #include <vector>
 
-#include "event_stream_splitter.h"
 #include "jasminepath/base/units.h"
 #include "jasminepath/endpoint/http_types.h"
+#include "jasminepath/http/event_stream_splitter.h"
 #include "token_usage.h"
 
 namespace jasminepath::node {
@@ -69,7 +69,7 @@
   const bool event_stream_wanted_;
   const bytes held_limit_;
   std::function<void()> on_first_byte_;
-  event_stream_splitter splitter_;
+  http::event_stream_splitter splitter_;
   int status_ = 0;
   std::vector<endpoint::header> headers_;
   std::string held_;
--- a/packages/node/src/decision_loop.h
+++ b/packages/node/src/decision_loop.h
@@ -10,6 +10,7 @@
 #include "jasminepath/base/random.h"
 #include "jasminepath/decision/fleet/fleet_limits.h"
 #include "jasminepath/decision/fleet/instance_record.h"
+#include "jasminepath/report/event_log.h"
 #include "node_event.h"
 
 namespace jasminepath::mesh {
@@ -19,7 +20,10 @@
 namespace jasminepath::node {
 
 class endpoint_poller;
-class event_log;
+using report::event_log;
+using report::FormatEvent;
+using report::log_field;
+using report::log_level;
 class node_metrics;
 class node_view;
 class order_duty;
--- a/packages/node/src/decision_state.cc
+++ b/packages/node/src/decision_state.cc
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "event_log.h"
+#include "jasminepath/report/event_log.h"
 #include "node_metrics.h"
 #include "node_view.h"
 #include "platform_gateway.h"
--- a/packages/node/src/decision_state_calls.cc
+++ b/packages/node/src/decision_state_calls.cc
@@ -5,9 +5,9 @@
 
 #include "call_outcome.h"
 #include "decision_state.h"
-#include "event_log.h"
 #include "jasminepath/config/configuration_index.h"
 #include "jasminepath/platform/table_keys.h"
+#include "jasminepath/report/event_log.h"
 #include "node_metrics.h"
 #include "platform_gateway.h"
 #include "row_codec.h"
--- a/packages/node/src/decision_state_fleet.cc
+++ b/packages/node/src/decision_state_fleet.cc
@@ -6,11 +6,11 @@
 
 #include "decision_state.h"
 #include "endpoint_poller.h"
-#include "event_log.h"
 #include "jasminepath/config/configuration_codec.h"
 #include "jasminepath/config/team_key_codec.h"
 #include "jasminepath/mesh/link_set.h"
 #include "jasminepath/platform/table_keys.h"
+#include "jasminepath/report/event_log.h"
 #include "node_metrics.h"
 #include "node_view.h"
 #include "platform_gateway.h"
--- a/packages/node/src/decision_state_placement.cc
+++ b/packages/node/src/decision_state_placement.cc
@@ -3,8 +3,8 @@
 #include <utility>
 
 #include "decision_state.h"
-#include "event_log.h"
 #include "jasminepath/platform/table_keys.h"
+#include "jasminepath/report/event_log.h"
 #include "order_duty.h"
 #include "platform_gateway.h"
 #include "row_codec.h"
--- a/packages/node/tests/node_parts_test.cc
+++ b/packages/node/tests/node_parts_test.cc
@@ -5,7 +5,7 @@
 #include "connection_watch.h"
 #include "drain_sequence.h"
 #include "endpoint_address_parser.h"
-#include "event_log.h"
+#include "jasminepath/report/event_log.h"
 #include "recorded_answer.h"
 #include "refusal_body.h"
 #include "row_codec.h"
@@ -70,10 +70,10 @@
 }
 
 BOOST_AUTO_TEST_CASE(LogLineQuotesWhatWouldBreakIt) {
-  BOOST_TEST(FormatEvent("call", {{"team", "a"},
-                                  {"text", "x y=\"z\"\n"},
-                                  {"empty", ""},
-                                  {"count", 3}}) ==
+  BOOST_TEST(report::FormatEvent("call", {{"team", "a"},
+                                          {"text", "x y=\"z\"\n"},
+                                          {"empty", ""},
+                                          {"count", 3}}) ==
              "event=call team=a text=\"x y=\\\"z\\\" \" empty=\"\" count=3");
 }
 
--- a/packages/node/src/event_log.h
+++ b/packages/report/include/jasminepath/report/event_log.h
@@ -1,5 +1,5 @@
-#ifndef JASMINEPATH_NODE_EVENT_LOG_H_
-#define JASMINEPATH_NODE_EVENT_LOG_H_
+#ifndef JASMINEPATH_REPORT_EVENT_LOG_H_
+#define JASMINEPATH_REPORT_EVENT_LOG_H_
 
 #include <cstdint>
 #include <initializer_list>
@@ -7,7 +7,7 @@
 #include <string>
 #include <string_view>
 
-namespace jasminepath::node {
+namespace jasminepath::report {
 
 enum class log_level { debug, info, warning, error };
 
@@ -35,7 +35,7 @@
 // passed to it.
 class event_log {
  public:
-  // Writes to `file`, or to standard error when it is empty. `level` is
+  // Writes to `file`, or to standard output when it is empty. `level` is
   // "debug", "info", "warning" or "error". `instance` goes into each line.
   event_log(const std::string& file,
             const std::string& level,
@@ -54,6 +54,6 @@
   std::unique_ptr<implementation> implementation_;
 };
 
-}  // namespace jasminepath::node
+}  // namespace jasminepath::report
 
-#endif  // JASMINEPATH_NODE_EVENT_LOG_H_
+#endif  // JASMINEPATH_REPORT_EVENT_LOG_H_
--- a/packages/node/src/event_log.cc
+++ b/packages/report/src/event_log.cc
@@ -1,4 +1,4 @@
-#include "event_log.h"
+#include "jasminepath/report/event_log.h"
 
 #include <spdlog/async.h>
 #include <spdlog/sinks/basic_file_sink.h>
@@ -7,7 +7,7 @@
 
 #include <utility>
 
-namespace jasminepath::node {
+namespace jasminepath::report {
 namespace {
 
 constexpr std::size_t kQueuedLines = 8192;
@@ -89,7 +89,7 @@
     : implementation_(std::make_unique<implementation>()) {
   spdlog::sink_ptr sink;
   if (file.empty())
-    sink = std::make_shared<spdlog::sinks::stderr_sink_mt>();
+    sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
   else
     sink = std::make_shared<spdlog::sinks::basic_file_sink_mt>(file);
   implementation_->instance = instance;
@@ -124,4 +124,4 @@
   implementation_->logger->log(wanted, spdlog::string_view_t(line));
 }
 
-}  // namespace jasminepath::node
+}  // namespace jasminepath::report
