Keep to an engine's memory through a change of holder; fetch facts when behind

The time since when a peer is ahead is kept instead, and the facts are fetched from it. - LOST: a request that crossed the close of an idle connection during a planned stop was left without an answer for the length of the linger; the connection now ends at once. Ruled out: late orders, whose count of accepted orders no longer matches.

--- a/packages/gateway/include/jasminepath/gateway/placement_planner.h
+++ b/packages/gateway/include/jasminepath/gateway/placement_planner.h
@@ -128,8 +128,8 @@
                   const std::vector<resident_model>& models,
                   const std::vector<model_id>& in_memory,
                   const std::vector<model_id>& on_disk,
+                  bool is_report,
                   time_point now);
-  void Settle(engine_state& engine, time_point now);
   void CountDemand(time_point now);
   // The least valuable resident of the engine, and what it is worth.
   std::optional<std::pair<model_id, double>> Victim(const engine_state& engine,
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -341,12 +341,8 @@
   for (auto [table, change] :
        {std::pair{&site_rows_, digest.site_change},
         std::pair{&endpoint_rows_, digest.endpoints_change}}) {
-    if (revision(change) <= table->last_change())
-      continue;
-    if (table->cut_off() || table->version() == revision(0))
+    if (table->IsBehind(revision(change), now))
       relay_.Fetch(digest.facts_address, digest.node, *table);
-    else
-      table->OnNewerElsewhere(revision(change));
   }
   if (orders_.holds(now))
     orders_.Tick(now);
--- a/packages/gateway/src/placement_planner.cc
+++ b/packages/gateway/src/placement_planner.cc
@@ -28,10 +28,9 @@
 constexpr duration kAskInterval = Milliseconds(250);
 // A report may be this old when it comes (site's sheet), with a margin.
 constexpr duration kReportLag = Milliseconds(800);
-// An order without effect for so long after its time is given up.
-constexpr duration kOrderPatience = Seconds(6);
-// An engine that failed an order gets none for a while.
-constexpr duration kDistrust = Seconds(1);
+// An entry may miss what was ordered within this time (interval of the
+// engines' updates, with a margin).
+constexpr duration kEntryLag = Seconds(2);
 // A planned load is dropped if its room is not free by then.
 constexpr duration kIntentPatience = Seconds(10);
 // Worth of a waiting request in units of requests a second, so that it
@@ -210,7 +209,8 @@
     const bool changed = restarted || engine.entry != entry;
     engine.entry = entry;
     if (changed)
-      ApplyState(engine, entry.models, entry.in_memory, entry.on_disk, now);
+      ApplyState(engine, entry.models, entry.in_memory, entry.on_disk, false,
+                 now);
   }
   std::erase_if(engines_,
                 [](const auto& item) { return !item.second.present; });
@@ -227,28 +227,39 @@
   // A report is some hundred milliseconds old and may miss the last orders.
   if (engine.order_count && report.order_count < *engine.order_count)
     return;
+  if (report.busy) {
+    // An order is under way, perhaps that of another holder: what the engine
+    // will hold is not known before it ends.
+    if (engine.pending)
+      engine.order_count = report.order_count;
+    return;
+  }
   engine.order_count = report.order_count;
-  if (report.busy)
+  ApplyState(engine, report.models, report.in_memory, report.on_disk, true,
+             now);
+  if (!engine.pending)
     return;
-  ApplyState(engine, report.models, report.in_memory, report.on_disk, now);
-  Settle(engine, now);
+  const pending_order& pending = *engine.pending;
+  const bool counted =
+      pending.accepted || report.order_count > pending.order.if_order_count;
   // An order that never arrived can be given again under the same count: if the
   // first one comes late, only one of the two is accepted.
-  if (engine.pending && !engine.pending->accepted &&
-      engine.pending->order.if_order_count == report.order_count &&
-      now - engine.pending->sent_at > kReportLag)
+  if (counted || now - pending.sent_at > kReportLag)
     engine.pending.reset();
 }
 
+// An entry may be older than the last orders, and engines drop nothing by
+// themselves: only a report, or the end of an unload, takes a model away.
 void placement_planner::ApplyState(engine_state& engine,
                                    const std::vector<resident_model>& models,
                                    const std::vector<model_id>& in_memory,
                                    const std::vector<model_id>& on_disk,
+                                   bool is_report,
                                    time_point now) {
-  engine.residents.clear();
+  std::vector<model_id> residents;
   std::map<model_id, std::vector<adapter_state>> adapters;
   for (const resident_model& model : models) {
-    engine.residents.push_back(model.model);
+    residents.push_back(model.model);
     engine.copies.insert(model.model);
     for (const adapter_id& adapter : model.adapters) {
       adapter_state state{adapter, time_point{}, now, true};
@@ -263,35 +274,36 @@
       const bool listed = std::any_of(
           model.adapters.begin(), model.adapters.end(),
           [&](const adapter_id& adapter) { return adapter == known.adapter; });
-      if (!listed && now - known.ready_at < Seconds(2))
+      if (!listed && now - known.ready_at < kEntryLag)
         adapters[model.model].push_back(known);
     }
   }
+  const std::vector<model_id> listed = residents;
+  const auto has = [&listed](const model_id& model) {
+    return std::find(listed.begin(), listed.end(), model) != listed.end();
+  };
+  const bool settles = engine.pending && engine.pending->accepted &&
+                       engine.pending->order.adapter.empty();
+  const model_id ordered = settles ? engine.pending->order.model : model_id();
+  const bool load = settles && engine.pending->order.kind == order_kind::load;
+  if (!is_report) {
+    for (const model_id& known : engine.residents) {
+      const bool unloaded = settles && !load && known == ordered;
+      if (!has(known) && !unloaded) {
+        residents.push_back(known);
+        adapters[known] = engine.adapters[known];
+      }
+    }
+  }
+  engine.residents = std::move(residents);
   engine.adapters = std::move(adapters);
   if (!in_memory.empty() || !on_disk.empty()) {
     engine.copies = std::set<model_id>(on_disk.begin(), on_disk.end());
     engine.copies.insert(in_memory.begin(), in_memory.end());
     engine.hot_copies = std::set<model_id>(in_memory.begin(), in_memory.end());
   }
-  if (engine.pending)
-    Settle(engine, now);
-}
-
-// Ends the pending order if the engine's state shows its effect.
-void placement_planner::Settle(engine_state& engine, time_point now) {
-  if (!engine.pending)
-    return;
-  const engine_order& order = engine.pending->order;
-  const bool load = order.kind == order_kind::load;
-  if (order.adapter.empty() && Resident(engine, order.model) == load) {
-    engine.pending.reset();
-    return;
-  }
-  if (now - engine.pending->expected_at > kOrderPatience) {
+  if (settles && has(ordered) == load)
     engine.pending.reset();
-    engine.intent.reset();
-    engine.distrusted_until = now + kDistrust;
-  }
 }
 
 void placement_planner::OnDigest(const peer_digest& digest, time_point now) {
@@ -364,8 +376,6 @@
 std::vector<engine_order> placement_planner::Plan(time_point now) {
   Refill(now);
   CountDemand(now);
-  for (auto& [id, engine] : engines_)
-    Settle(engine, now);
   std::vector<engine_order> orders;
   ContinueIntents(now, orders);
   PlaceAdapters(now, orders);
@@ -628,10 +638,7 @@
     case order_verdict::no_answer:
       // It may still take effect; its state is asked for until it shows.
       engine.pending->expected_at = now;
-      if (for_adapter)
-        engine.pending.reset();
-      engine.distrusted_until = now + kAskInterval;
-      engine.asked_at = time_point{};
+      engine.asked_at = now;
       return;
     case order_verdict::conflict:
     case order_verdict::invalid:
--- a/packages/gateway/src/table_follower.cc
+++ b/packages/gateway/src/table_follower.cc
@@ -11,8 +11,8 @@
 // First pause after a failed call; doubles up to the longest.
 constexpr duration kFirstRetry = Milliseconds(100);
 constexpr duration kLongestRetry = Milliseconds(800);
-// Time that the pending poll gets after a peer has shown a newer version.
-constexpr duration kHurryDelay = Milliseconds(300);
+// Time that the store gets to tell a change that a peer knows.
+constexpr duration kBehindDelay = Milliseconds(300);
 
 }  // namespace
 
@@ -26,8 +26,7 @@
       table_(std::move(table)),
       random_(random),
       on_change_(std::move(on_change)),
-      timer_(loop),
-      hurry_(loop) {}
+      timer_(loop) {}
 
 void table_follower::Start() {
   from_key_.clear();
@@ -73,7 +72,6 @@
 }
 
 void table_follower::OnPolled(const store_answer& answer) {
-  hurry_.Cancel();
   if (answer.status == store_status::history_gone)
     return Start();
   if (answer.status != store_status::done)
@@ -124,14 +122,21 @@
   on_change_();
 }
 
-void table_follower::OnNewerElsewhere(revision last_change) {
-  if (!polling_ || last_change <= last_change_ || failures_ > 0)
-    return;
-  const revision before = version_;
-  hurry_.Start(kHurryDelay, [this, before] {
-    if (polling_ && version_ == before && failures_ == 0)
-      Poll();
-  });
+bool table_follower::IsBehind(revision last_change, time_point now) {
+  if (last_change <= last_change_) {
+    behind_since_.reset();
+    return false;
+  }
+  if (version_ == revision(0) || failures_ > 0)
+    return true;
+  if (!behind_since_)
+    behind_since_ = now;
+  if (now - *behind_since_ < kBehindDelay)
+    return false;
+  behind_since_ = now;
+  if (polling_)
+    Poll();
+  return true;
 }
 
 }  // namespace jasminepath::gateway
--- a/packages/gateway/src/table_follower.h
+++ b/packages/gateway/src/table_follower.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,12 +42,10 @@
              revision version,
              revision last_change);
 
-  // A peer knows a newer change: the pending poll may be on a connection that
-  // has gone silent.
-  void OnNewerElsewhere(revision last_change);
-
-  // Whether the store has failed the last call.
-  bool cut_off() const { return failures_ > 0; }
+  // A peer knows a change. True if this copy lacks it for longer than the store
+  // takes to tell it, so that it is better fetched from the peer; the pending
+  // poll may be on a connection that has gone silent and is begun anew.
+  bool IsBehind(revision last_change, time_point now);
 
  private:
   void ReadNext();
@@ -61,7 +60,6 @@
   random_engine& random_;
   std::function<void()> on_change_;
   http::timer timer_;
-  http::timer hurry_;
   store_client::handle call_;
   std::map<std::string, table_row> rows_;
   std::map<std::string, table_row> incoming_;
@@ -69,6 +67,8 @@
   revision version_;
   revision last_change_;
   bool polling_ = false;
+  // Since when a peer has been known to be ahead.
+  std::optional<time_point> behind_since_;
   int failures_ = 0;
 };
 
--- a/packages/http/src/server_connection.cc
+++ b/packages/http/src/server_connection.cc
@@ -84,6 +84,10 @@
 }
 
 void server_connection::OnRead(std::size_t length) {
+  // A request that crosses the close cannot be answered any more; the client
+  // learns so at once.
+  if (closing_ && sending_.empty() && unsent_.empty())
+    return Close();
   if (!closing_)
     input_.append(chunk_.data(), length);
   if (!busy_ && !closing_)
