--- /dev/null
+++ b/packages/gateway/tests/engine_world.h
@@ -0,0 +1,316 @@
+#ifndef JASMINEPATH_GATEWAY_TESTS_ENGINE_WORLD_H_
+#define JASMINEPATH_GATEWAY_TESTS_ENGINE_WORLD_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jasminepath/gateway/placement_planner.h"
+
+namespace jasminepath::gateway {
+
+inline const service_id kService("assistant");
+inline constexpr int64_t kModelMb = 70000;
+inline constexpr int64_t kAdapterMb = 60;
+inline constexpr int64_t kEngineMb = 160000;
+inline constexpr int64_t kAdapterSlots = 3;
+inline constexpr double kLoadsPerSecond = 1.6;
+
+inline time_point At(int64_t ms) {
+  return time_point{} + Seconds(100) + Milliseconds(ms);
+}
+
+inline model_id Model(int number) {
+  return model_id("m" + std::to_string(number));
+}
+
+inline engine_spec MakeSpec(int models) {
+  engine_spec spec;
+  spec.slots = 64;
+  spec.weight_mb = kEngineMb;
+  spec.adapter_slots = kAdapterSlots;
+  spec.loads_per_second = kLoadsPerSecond;
+  for (int i = 0; i < models; ++i) {
+    model_spec model;
+    model.model = Model(i);
+    model.weight_mb = kModelMb;
+    model.adapter_mb = kAdapterMb;
+    model.store_load = Seconds(6);
+    model.disk_load = Milliseconds(440);
+    model.memory_load = Milliseconds(320);
+    spec.models.push_back(model);
+  }
+  return spec;
+}
+
+// An engine as the site describes it: one order at a time, a count of accepted
+// orders, entries and reports that lag, and orders that come late.
+class simulated_engine {
+ public:
+  simulated_engine(int number, std::vector<model_id> residents)
+      : id_("e" + std::to_string(number)) {
+    for (const model_id& model : residents) {
+      models_[model] = {};
+      copies_.insert(model);
+    }
+    Publish();
+  }
+
+  const endpoint_id& id() const { return id_; }
+  bool exceeded() const { return exceeded_; }
+  bool Has(const model_id& model) const { return models_.contains(model); }
+  bool HasAdapter(const model_id& model, const adapter_id& adapter) const {
+    const auto found = models_.find(model);
+    return found != models_.end() && found->second.contains(adapter);
+  }
+  bool busy() const { return work_.has_value(); }
+  const endpoint_entry& entry() const { return published_; }
+
+  // Adds the loads from the weight store that begin to `store_loads`.
+  order_verdict Take(const engine_order& order,
+                     int64_t ms,
+                     std::vector<int64_t>& store_loads) {
+    if (work_ || (order.if_order_count && *order.if_order_count != count_))
+      return order_verdict::conflict;
+    const bool present = models_.contains(order.model);
+    if (!order.adapter.empty())
+      return TakeAdapter(order, present);
+    if (present == (order.kind == order_kind::load))
+      return order_verdict::already_holds;
+    ++count_;
+    int64_t time = 50;
+    if (order.kind == order_kind::load) {
+      const bool copied = copies_.contains(order.model);
+      time = copied ? 440 : 6000;
+      if (!copied)
+        store_loads.push_back(ms);
+      if (UsedMb() + kModelMb > kEngineMb)
+        exceeded_ = true;
+    }
+    work_ = {order, ms + time};
+    return order_verdict::accepted;
+  }
+
+  void Advance(int64_t ms) {
+    if (work_ && ms >= work_->second) {
+      if (work_->first.kind == order_kind::load) {
+        models_[work_->first.model] = {};
+        copies_.insert(work_->first.model);
+      } else {
+        models_.erase(work_->first.model);
+      }
+      work_.reset();
+      if (publishes)
+        Publish();
+    }
+    if (ms % 1200 == 0 && publishes)
+      Publish();
+    reports_.push_back({ms, MakeReport()});
+    while (reports_.size() > 1 && reports_[1].first <= ms - 300)
+      reports_.pop_front();
+  }
+  // As of some hundred milliseconds ago.
+  const engine_report& report() const { return reports_.front().second; }
+
+  // Entries reach the list only while this is set.
+  bool publishes = true;
+
+ private:
+  order_verdict TakeAdapter(const engine_order& order, bool present) {
+    if (!present)
+      return order_verdict::invalid;
+    auto& adapters = models_[order.model];
+    if (adapters.contains(order.adapter) == (order.kind == order_kind::load))
+      return order_verdict::already_holds;
+    ++count_;
+    if (order.kind == order_kind::unload) {
+      adapters.erase(order.adapter);
+      return order_verdict::already_holds;
+    }
+    adapters.insert(order.adapter);
+    int64_t held = 0;
+    for (const auto& [model, names] : models_)
+      held += static_cast<int64_t>(names.size());
+    if (held > kAdapterSlots || UsedMb() > kEngineMb)
+      exceeded_ = true;
+    return order_verdict::accepted;
+  }
+  int64_t UsedMb() const {
+    int64_t used = 0;
+    for (const auto& [model, adapters] : models_)
+      used += kModelMb + kAdapterMb * static_cast<int64_t>(adapters.size());
+    return used;
+  }
+  std::vector<resident_model> Residents() const {
+    std::vector<resident_model> list;
+    for (const auto& [model, adapters] : models_)
+      list.push_back({model, 1, {adapters.begin(), adapters.end()}});
+    return list;
+  }
+  engine_report MakeReport() const {
+    engine_report out;
+    out.busy = work_.has_value();
+    out.started_at_ms = 1;
+    out.order_count = count_;
+    out.models = Residents();
+    out.on_disk = {copies_.begin(), copies_.end()};
+    return out;
+  }
+  void Publish() {
+    published_.id = id_;
+    published_.service = kService;
+    published_.address = "127.0.0.1:1";
+    published_.slots = 64;
+    published_.started_at_ms = 1;
+    published_.models = Residents();
+    published_.on_disk = {copies_.begin(), copies_.end()};
+  }
+
+  endpoint_id id_;
+  int64_t count_ = 0;
+  std::map<model_id, std::set<adapter_id>> models_;
+  std::set<model_id> copies_;
+  std::optional<std::pair<engine_order, int64_t>> work_;
+  endpoint_entry published_;
+  std::deque<std::pair<int64_t, engine_report>> reports_;
+  bool exceeded_ = false;
+};
+
+// Engines, a planner that places models on them, and the time.
+struct engine_world {
+  engine_world(int engine_count, int model_count, uint32_t seed)
+      : random(seed), spec(MakeSpec(model_count)), planner(kService) {
+    for (int i = 0; i < engine_count; ++i)
+      engines.emplace_back(
+          i, std::vector<model_id>{Model((2 * i) % model_count),
+                                   Model((2 * i + 1) % model_count)});
+    planner.SetEngineSpec(spec);
+    ShowEntries();
+    planner.Begin(At(0));
+  }
+
+  void ShowEntries() {
+    std::vector<endpoint_entry> entries;
+    for (const simulated_engine& engine : engines)
+      entries.push_back(engine.entry());
+    planner.OnEndpoints(entries, At(now_ms));
+  }
+
+  // Another node becomes the holder: it knows only what it can read.
+  void ChangeHolder() {
+    planner = placement_planner(kService);
+    planner.SetEngineSpec(spec);
+    ShowEntries();
+    planner.Begin(At(now_ms));
+    answers.clear();
+  }
+
+  // Demand of the callers for models that are not ready.
+  void Want(const model_id& model, const adapter_id& adapter, int64_t waiting) {
+    peer_digest digest;
+    digest.node = vm_id("node");
+    digest.models = {{model, adapter, waiting, ++arrivals}};
+    planner.OnDigest(digest, At(now_ms));
+  }
+
+  // 10 ms pass.
+  void Step() {
+    now_ms += 10;
+    for (simulated_engine& engine : engines)
+      engine.Advance(now_ms);
+    while (!late.empty() && late.front().first <= now_ms) {
+      EngineOf(late.front().second).Take(late.front().second, now_ms,
+                                         store_loads);
+      late.pop_front();
+    }
+    if (now_ms % 50 == 0)
+      ShowEntries();
+    while (!answers.empty() && answers.front().at <= now_ms) {
+      planner.OnOrderAnswer(answers.front().order, answers.front().verdict,
+                            At(now_ms));
+      answers.pop_front();
+    }
+    for (const engine_order& order : planner.Plan(At(now_ms)))
+      Deliver(order);
+    planner.TakeNotices();
+    for (const endpoint_id& id : planner.EnginesToAsk(At(now_ms))) {
+      for (const simulated_engine& engine : engines) {
+        if (engine.id() == id)
+          planner.OnReport(id, engine.report(), At(now_ms));
+      }
+    }
+  }
+
+  void Run(int64_t ms) {
+    for (const int64_t end = now_ms + ms; now_ms < end;)
+      Step();
+  }
+
+  bool exceeded() const {
+    return std::any_of(engines.begin(), engines.end(),
+                       [](const auto& engine) { return engine.exceeded(); });
+  }
+  int64_t ReplicasOf(const model_id& model) const {
+    return std::count_if(
+        engines.begin(), engines.end(),
+        [&](const auto& engine) { return engine.Has(model); });
+  }
+  // The most loads from the weight store that began within 5 s.
+  int64_t MostStoreLoads() const {
+    int64_t most = 0;
+    for (const int64_t first : store_loads)
+      most = std::max<int64_t>(
+          most, std::count_if(store_loads.begin(), store_loads.end(),
+                              [&](int64_t ms) {
+                                return ms >= first && ms < first + 5000;
+                              }));
+    return most;
+  }
+
+  std::mt19937 random;
+  engine_spec spec;
+  std::vector<simulated_engine> engines;
+  placement_planner planner;
+  int64_t now_ms = 0;
+  int64_t arrivals = 0;
+  std::vector<int64_t> store_loads;
+  // Share of orders in a hundred that get no answer and are carried out late.
+  int late_percent = 0;
+
+ private:
+  struct answer {
+    int64_t at;
+    engine_order order;
+    order_verdict verdict;
+  };
+
+  simulated_engine& EngineOf(const engine_order& order) {
+    return *std::find_if(
+        engines.begin(), engines.end(),
+        [&](const auto& engine) { return engine.id() == order.endpoint; });
+  }
+  void Deliver(const engine_order& order) {
+    if (static_cast<int>(random() % 100) < late_percent) {
+      late.emplace_back(now_ms + 2000, order);
+      answers.push_back({now_ms + 800, order, order_verdict::no_answer});
+      return;
+    }
+    const order_verdict verdict =
+        EngineOf(order).Take(order, now_ms, store_loads);
+    answers.push_back({now_ms + 10, order, verdict});
+  }
+
+  std::deque<std::pair<int64_t, engine_order>> late;
+  std::deque<answer> answers;
+};
+
+}  // namespace jasminepath::gateway
+
+#endif  // JASMINEPATH_GATEWAY_TESTS_ENGINE_WORLD_H_
--- /dev/null
+++ b/packages/gateway/tests/fleet_rate_limiter_test.cc
@@ -0,0 +1,150 @@
+#include "jasminepath/gateway/fleet_rate_limiter.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+#include <vector>
+
+namespace jasminepath::gateway {
+namespace {
+
+const team_id kTeam("beads");
+constexpr int64_t kRate = 70000;
+constexpr int64_t kRequest = 9000;
+
+time_point At(int64_t ms) {
+  return time_point{} + Seconds(100) + Milliseconds(ms);
+}
+
+std::vector<team> Teams(int64_t rate) {
+  team value;
+  value.id = kTeam;
+  value.rate_per_second = rate;
+  value.burst = rate;
+  return {value};
+}
+
+// Nodes that tell each other what they have used, unless they are cut off.
+struct limited_fleet {
+  explicit limited_fleet(int count) {
+    for (int i = 0; i < count; ++i) {
+      nodes.emplace_back();
+      nodes.back().SetNodeCount(count);
+      nodes.back().SetTeams(Teams(kRate), At(0));
+    }
+    sequences.resize(nodes.size());
+  }
+
+  void Exchange(int64_t ms, int cut_below) {
+    for (std::size_t from = 0; from < nodes.size(); ++from) {
+      peer_digest digest;
+      digest.node = vm_id("n" + std::to_string(from));
+      digest.incarnation = 1;
+      digest.sequence = ++sequences[from];
+      digest.teams = nodes[from].Used();
+      for (std::size_t to = 0; to < nodes.size(); ++to) {
+        const bool from_cut = static_cast<int>(from) < cut_below;
+        const bool to_cut = static_cast<int>(to) < cut_below;
+        if (to != from && from_cut == to_cut)
+          nodes[to].OnDigest(digest, At(ms));
+      }
+    }
+  }
+
+  std::vector<fleet_rate_limiter> nodes;
+  std::vector<uint64_t> sequences;
+};
+
+// The most tokens let through in any window, over all nodes, when the team asks
+// for several times its rate.
+int64_t MostInWindow(int64_t cut_from_ms, int64_t cut_to_ms) {
+  constexpr int64_t kWindowMs = 8000;
+  constexpr int64_t kLengthMs = 30000;
+  limited_fleet fleet(8);
+  std::mt19937 random(7);
+  std::vector<std::pair<int64_t, int64_t>> taken;
+  for (int64_t ms = 0; ms < kLengthMs; ms += 10) {
+    if (ms % 300 == 0)
+      fleet.Exchange(ms, ms >= cut_from_ms && ms < cut_to_ms ? 3 : 0);
+    // 35 requests of 9,000 tokens a second: 4.5 times the rate.
+    if (random() % 100 < 35) {
+      auto& node = fleet.nodes[random() % fleet.nodes.size()];
+      if (node.Take(kTeam, kRequest, At(ms)))
+        taken.emplace_back(ms, kRequest);
+    }
+  }
+  int64_t most = 0;
+  for (std::size_t first = 0; first < taken.size(); ++first) {
+    int64_t sum = 0;
+    for (std::size_t i = first;
+         i < taken.size() && taken[i].first < taken[first].first + kWindowMs;
+         ++i)
+      sum += taken[i].second;
+    most = std::max(most, sum);
+  }
+  return most;
+}
+
+// What the site allows in a window of 8 s: rate and burst, a tenth more, and a
+// fixed part.
+constexpr int64_t kAllowed = (kRate * 8 + kRate) * 11 / 10 + 110000;
+
+BOOST_AUTO_TEST_CASE(KeepsATeamWithinItsRateOverAllNodes) {
+  BOOST_TEST(MostInWindow(0, 0) <= kAllowed);
+}
+
+BOOST_AUTO_TEST_CASE(KeepsATeamWithinItsRateWhileTheFleetIsCut) {
+  BOOST_TEST(MostInWindow(5000, 17000) <= kAllowed);
+}
+
+BOOST_AUTO_TEST_CASE(LetsAModestTeamThrough) {
+  limited_fleet fleet(8);
+  int refused = 0;
+  for (int64_t ms = 0; ms < 20000; ms += 10) {
+    if (ms % 300 == 0)
+      fleet.Exchange(ms, 0);
+    // Five requests a second: two thirds of the rate.
+    if (ms % 200 == 0 &&
+        !fleet.nodes[static_cast<std::size_t>(ms / 200) % 3].Take(
+            kTeam, kRequest, At(ms)))
+      ++refused;
+  }
+  BOOST_TEST(refused <= 2);
+}
+
+BOOST_AUTO_TEST_CASE(GivesBackWhatDidNotRun) {
+  fleet_rate_limiter limiter;
+  limiter.SetTeams(Teams(10000), At(0));
+  BOOST_TEST(limiter.Take(kTeam, 9000, At(0)));
+  BOOST_TEST(!limiter.Take(kTeam, 9000, At(0)));
+  limiter.Return(kTeam, 9000);
+  BOOST_TEST(limiter.Take(kTeam, 9000, At(0)));
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotLimitTeamsWithoutARate) {
+  fleet_rate_limiter limiter;
+  limiter.SetTeams(Teams(0), At(0));
+  BOOST_TEST(limiter.Take(kTeam, 1000000, At(0)));
+  BOOST_TEST(limiter.Take(team_id("other"), 1000000, At(0)));
+}
+
+BOOST_AUTO_TEST_CASE(CountsAfreshWhatARestartedPeerUses) {
+  fleet_rate_limiter limiter;
+  limiter.SetTeams(Teams(10000), At(0));
+  peer_digest digest;
+  digest.node = vm_id("peer");
+  digest.incarnation = 1;
+  digest.sequence = 1;
+  digest.teams = {{kTeam, 500000}};
+  // Used before this node knew the peer.
+  limiter.OnDigest(digest, At(0));
+  BOOST_TEST(limiter.Take(kTeam, 4000, At(0)));
+  digest.incarnation = 2;
+  digest.teams = {{kTeam, 9000}};
+  limiter.OnDigest(digest, At(1));
+  BOOST_TEST(!limiter.Take(kTeam, 4000, At(1)));
+}
+
+}  // namespace
+}  // namespace jasminepath::gateway
--- /dev/null
+++ b/packages/gateway/tests/gateway_parts_test.cc
@@ -0,0 +1,192 @@
+#include <boost/test/unit_test.hpp>
+
+#include "crash_suspects.h"
+#include "endpoint_pool.h"
+#include "jasminepath/gateway/peer_digest.h"
+#include "jasminepath/gateway/site.h"
+
+namespace jasminepath::gateway {
+namespace {
+
+time_point At(int64_t ms) {
+  return time_point{} + Seconds(100) + Milliseconds(ms);
+}
+
+endpoint_entry MakeEntry(const char* id, const char* zone) {
+  endpoint_entry entry;
+  entry.id = endpoint_id(id);
+  entry.service = service_id("assistant");
+  entry.address = "127.0.0.1:1";
+  entry.zone = zone_id(zone);
+  entry.slots = 4;
+  entry.started_at_ms = 1;
+  entry.models = {{model_id("m"), 1, {adapter_id("a1")}}};
+  return entry;
+}
+
+struct pool_fixture {
+  pool_fixture() : pool(loop, zone_id("z1")) {
+    entries = {MakeEntry("e1", "z1"), MakeEntry("e2", "z2")};
+    pool.Apply(entries, {}, At(0));
+    query.service = service_id("assistant");
+    query.model = model_id("m");
+  }
+  std::string Picked(int64_t ms = 0) {
+    const auto choice = pool.Pick(query, At(ms));
+    return choice.endpoint ? choice.endpoint->entry.id.value() : "";
+  }
+
+  http::event_loop loop;
+  endpoint_pool pool;
+  std::vector<endpoint_entry> entries;
+  endpoint_query query;
+};
+
+BOOST_FIXTURE_TEST_CASE(PicksInItsOwnZone, pool_fixture) {
+  BOOST_TEST(Picked() == "e1");
+}
+
+BOOST_FIXTURE_TEST_CASE(CountsTheLoadOfPeers, pool_fixture) {
+  peer_digest digest;
+  digest.node = vm_id("peer");
+  digest.endpoints = {{endpoint_id("e1"), 4}};
+  pool.OnDigest(digest);
+  BOOST_TEST(Picked() == "e2");
+  pool.ForgetPeer(vm_id("peer"));
+  BOOST_TEST(Picked() == "e1");
+}
+
+BOOST_FIXTURE_TEST_CASE(PicksNoDrainingEndpoint, pool_fixture) {
+  entries[0].draining = true;
+  pool.Apply(entries, {}, At(0));
+  BOOST_TEST(Picked() == "e2");
+}
+
+BOOST_FIXTURE_TEST_CASE(PicksOnlyWhereModelAndAdapterAreReady, pool_fixture) {
+  entries[0].models.clear();
+  pool.Apply(entries, {}, At(0));
+  BOOST_TEST(Picked() == "e2");
+  query.adapter = adapter_id("a2");
+  BOOST_TEST((pool.Pick(query, At(0)).miss == pick_miss::not_loaded));
+  load_notice notice;
+  notice.endpoint = endpoint_id("e2");
+  notice.model = query.model;
+  notice.adapter = query.adapter;
+  pool.OnNotice(notice, At(0));
+  BOOST_TEST(Picked() == "e2");
+  // Without a word in the list the notice does not hold for ever.
+  BOOST_TEST(Picked(60000) == "");
+}
+
+BOOST_FIXTURE_TEST_CASE(SendsNothingToAModelThatIsBeingDropped, pool_fixture) {
+  load_notice notice;
+  notice.endpoint = endpoint_id("e1");
+  notice.model = query.model;
+  notice.change = load_change::closing;
+  pool.OnNotice(notice, At(0));
+  BOOST_TEST(Picked() == "e2");
+}
+
+BOOST_FIXTURE_TEST_CASE(WaitsWhereAllAreFull, pool_fixture) {
+  for (const char* id : {"e1", "e2"}) {
+    for (int i = 0; i < 4; ++i)
+      pool.Begin(*pool.Find(endpoint_id(id)));
+  }
+  BOOST_TEST((pool.Pick(query, At(0)).miss == pick_miss::full));
+}
+
+BOOST_FIXTURE_TEST_CASE(EjectsAFailingEndpointButNeverTheLast, pool_fixture) {
+  for (int i = 0; i < 3; ++i) {
+    auto endpoint = pool.Find(endpoint_id("e1"));
+    pool.Begin(*endpoint);
+    pool.End(*endpoint, decision::attempt_end::server_error, At(0));
+  }
+  BOOST_TEST(Picked() == "e2");
+  pool.Apply({entries[0]}, {}, At(0));
+  BOOST_TEST(Picked() == "e1");
+}
+
+BOOST_FIXTURE_TEST_CASE(KeepsAMissingEntryForItsGrace, pool_fixture) {
+  pool.Apply({entries[1]}, Milliseconds(1800), At(0));
+  BOOST_TEST(Picked() == "e1");
+  pool.DropMissing(At(1800));
+  BOOST_TEST(Picked(1800) == "e2");
+}
+
+BOOST_FIXTURE_TEST_CASE(ARestartedEndpointBeginsAnew, pool_fixture) {
+  pool.Begin(*pool.Find(endpoint_id("e1")));
+  entries[0].started_at_ms = 2;
+  pool.Apply(entries, {}, At(0));
+  BOOST_TEST(pool.Find(endpoint_id("e1"))->running == 0);
+}
+
+BOOST_AUTO_TEST_CASE(NodesAgreeOnTheEngineWithTheSharedParts) {
+  http::event_loop loop;
+  std::vector<endpoint_entry> entries;
+  for (const char* id : {"e1", "e2", "e3"})
+    entries.push_back(MakeEntry(id, "z1"));
+  endpoint_query query;
+  query.service = service_id("assistant");
+  query.model = model_id("m");
+  for (uint64_t affinity = 1; affinity < 20; ++affinity) {
+    query.affinity = affinity;
+    endpoint_pool first(loop, zone_id("z1"));
+    endpoint_pool second(loop, zone_id("z1"));
+    first.Apply(entries, {}, At(0));
+    second.Apply({entries[2], entries[0], entries[1]}, {}, At(0));
+    BOOST_TEST(first.Pick(query, At(0)).endpoint->entry.id ==
+               second.Pick(query, At(0)).endpoint->entry.id);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(BarsARequestAfterThreeCrashesOverAllNodes) {
+  crash_suspects suspects(vm_id("self"));
+  suspects.OnCrash(7, At(0));
+  suspects.OnCrash(7, At(100));
+  BOOST_TEST(!suspects.IsBarred(7, At(100)));
+  peer_digest digest;
+  digest.node = vm_id("peer");
+  digest.crashes = {{7, 1}};
+  suspects.OnDigest(digest, At(200));
+  BOOST_TEST(suspects.IsBarred(7, At(200)));
+  BOOST_TEST(!suspects.IsBarred(8, At(200)));
+  BOOST_TEST((suspects.Counts(At(200)) == std::vector<crash_count>{{7, 2}}));
+  BOOST_TEST(!suspects.IsBarred(7, At(500000)));
+}
+
+BOOST_AUTO_TEST_CASE(ReadsBackPeerMessages) {
+  peer_digest digest;
+  digest.node = vm_id("n");
+  digest.incarnation = 18446744073709551615ULL;
+  digest.teams = {{team_id("t"), 5}};
+  digest.endpoints = {{endpoint_id("e"), 2}};
+  digest.models = {{model_id("m"), adapter_id("a"), 1, 9}};
+  digest.crashes = {{77, 2}};
+  digest.leaving = true;
+  const std::string bytes = EncodePeerMessage(digest);
+  BOOST_TEST((DecodePeerMessage(bytes) == peer_message(digest)));
+  load_notice notice;
+  notice.change = load_change::closing;
+  BOOST_TEST((DecodePeerMessage(EncodePeerMessage(notice)) ==
+              peer_message(notice)));
+  for (std::size_t length = 0; length < bytes.size(); ++length)
+    BOOST_TEST(!DecodePeerMessage(bytes.substr(0, length)));
+  BOOST_TEST(!DecodePeerMessage("nonsense"));
+}
+
+BOOST_AUTO_TEST_CASE(ChoosesTheLongestPrefixOfTheHost) {
+  route wide;
+  wide.name = "wide";
+  wide.host = "Shop.example";
+  wide.path_prefix = "/";
+  route narrow = wide;
+  narrow.name = "narrow";
+  narrow.path_prefix = "/a/";
+  const site value(1, {wide, narrow}, {}, {}, {});
+  BOOST_TEST(value.FindRoute("shop.example:80", "/a/b")->name == "narrow");
+  BOOST_TEST(value.FindRoute("shop.example", "/ab")->name == "wide");
+  BOOST_TEST(value.FindRoute("other.example", "/a/b") == nullptr);
+}
+
+}  // namespace
+}  // namespace jasminepath::gateway
--- /dev/null
+++ b/packages/gateway/tests/placement_lease_test.cc
@@ -0,0 +1,235 @@
+#include "jasminepath/gateway/placement_lease.h"
+
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <random>
+#include <vector>
+
+namespace jasminepath::gateway {
+namespace {
+
+using action = lease_step::action;
+
+time_point At(int64_t ms) {
+  return time_point{} + Seconds(100) + Milliseconds(ms);
+}
+
+// The row as the store holds it.
+struct lease_store {
+  std::optional<authority_row> row;
+  int64_t version = 0;
+  int64_t counter = 10;
+
+  // Carries a step out and tells the outcome.
+  void Serve(placement_lease& node, const lease_step& step, time_point now) {
+    if (step.what == action::read)
+      return node.OnRead(row, revision(version), now);
+    if (!Write(step))
+      return node.OnConflict(now);
+    node.OnWritten(revision(version), now);
+  }
+  bool Write(const lease_step& step) {
+    if (step.expected.count() != (row ? version : 0))
+      return false;
+    row = step.row;
+    version = ++counter;
+    return true;
+  }
+};
+
+void Turn(placement_lease& node, lease_store& store, time_point now) {
+  const lease_step step = node.Next(now);
+  if (step.what != action::none)
+    store.Serve(node, step, now);
+}
+
+placement_lease MakeNode(const char* name, uint64_t incarnation = 1) {
+  return placement_lease(vm_id(name), incarnation, {});
+}
+
+BOOST_AUTO_TEST_CASE(TakesARowThatDoesNotExist) {
+  lease_store store;
+  auto node = MakeNode("a");
+  for (int64_t ms = 0; ms < 1000; ms += 100)
+    Turn(node, store, At(ms));
+  BOOST_TEST(node.Holds(At(1000)));
+  BOOST_TEST(node.fencing() == epoch(1));
+}
+
+BOOST_AUTO_TEST_CASE(AnotherTakesItOnlyAfterTheLease) {
+  lease_store store;
+  auto first = MakeNode("a");
+  auto second = MakeNode("b");
+  for (int64_t ms = 0; ms < 1000; ms += 50)
+    Turn(first, store, At(ms));
+  // The first node is gone from here on.
+  int64_t taken_at = 0;
+  for (int64_t ms = 1000; ms < 10000 && taken_at == 0; ms += 50) {
+    Turn(second, store, At(ms));
+    if (second.Holds(At(ms)))
+      taken_at = ms;
+  }
+  BOOST_TEST(taken_at >= 4000);
+  BOOST_TEST(taken_at < 5000);
+  BOOST_TEST(second.fencing() == epoch(2));
+  BOOST_TEST(!first.Holds(At(taken_at)));
+}
+
+BOOST_AUTO_TEST_CASE(AFrozenHolderFindsOutWhenItWakes) {
+  lease_store store;
+  auto first = MakeNode("a");
+  auto second = MakeNode("b");
+  for (int64_t ms = 0; ms < 1000; ms += 50)
+    Turn(first, store, At(ms));
+  for (int64_t ms = 1000; ms < 8000; ms += 50)
+    Turn(second, store, At(ms));
+  BOOST_TEST(second.Holds(At(8000)));
+  BOOST_TEST(!first.Holds(At(8000)));
+  for (int64_t ms = 8000; ms < 8500; ms += 50)
+    Turn(first, store, At(ms));
+  BOOST_TEST(!first.Holds(At(8500)));
+}
+
+BOOST_AUTO_TEST_CASE(GoesOnDuringAnOutageOnlyIfEnginesCheckFencing) {
+  for (const bool fenced : {true, false}) {
+    lease_store store;
+    placement_lease::terms terms;
+    terms.fenced = fenced;
+    placement_lease node(vm_id("a"), 1, terms);
+    for (int64_t ms = 0; ms < 1000; ms += 50)
+      Turn(node, store, At(ms));
+    for (int64_t ms = 1000; ms < 6000; ms += 50) {
+      if (node.Next(At(ms)).what != action::none)
+        node.OnFailure(At(ms));
+    }
+    BOOST_TEST(node.Holds(At(6000)) == fenced);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(KeepsWhatItTookWithALostAnswer) {
+  lease_store store;
+  auto node = MakeNode("a");
+  Turn(node, store, At(0));
+  const lease_step taking = node.Next(At(400));
+  BOOST_REQUIRE((taking.what == action::write));
+  BOOST_TEST(store.Write(taking));
+  node.OnFailure(At(1600));
+  for (int64_t ms = 2000; ms < 3000; ms += 50)
+    Turn(node, store, At(ms));
+  BOOST_TEST(node.Holds(At(3000)));
+  BOOST_TEST(node.fencing() == epoch(1));
+}
+
+BOOST_AUTO_TEST_CASE(StepsDownForAHigherEpoch) {
+  lease_store store;
+  auto node = MakeNode("a");
+  for (int64_t ms = 0; ms < 1000; ms += 50)
+    Turn(node, store, At(ms));
+  node.OnHolderDigest(vm_id("b"), epoch(2), revision(99), At(1000));
+  BOOST_TEST(!node.Holds(At(1000)));
+  auto fenced = MakeNode("c");
+  lease_store other;
+  for (int64_t ms = 0; ms < 1000; ms += 50)
+    Turn(fenced, other, At(ms));
+  fenced.OnFenced();
+  BOOST_TEST(!fenced.Holds(At(1000)));
+}
+
+BOOST_AUTO_TEST_CASE(DoesNotTakeItWhileTheHolderIsHeard) {
+  lease_store store;
+  auto first = MakeNode("a");
+  auto second = MakeNode("b");
+  for (int64_t ms = 0; ms < 20000; ms += 50) {
+    Turn(first, store, At(ms));
+    if (ms % 300 == 0)
+      second.OnHolderDigest(vm_id("a"), first.fencing(), first.version(),
+                            At(ms));
+    Turn(second, store, At(ms));
+  }
+  BOOST_TEST(first.Holds(At(20000)));
+  BOOST_TEST(!second.Holds(At(20000)));
+}
+
+BOOST_AUTO_TEST_CASE(AnotherTakesWhatWasGivenUpWithoutWaiting) {
+  lease_store store;
+  auto first = MakeNode("a");
+  auto second = MakeNode("b");
+  for (int64_t ms = 0; ms < 1000; ms += 50)
+    Turn(first, store, At(ms));
+  first.Release();
+  for (int64_t ms = 1000; ms < 2500; ms += 50)
+    Turn(first, store, At(ms));
+  for (int64_t ms = 2500; ms < 4000; ms += 50)
+    Turn(second, store, At(ms));
+  BOOST_TEST(second.Holds(At(4000)));
+}
+
+// Any mix of lost answers, outages, freezes and lost digests: no two nodes ever
+// hold the same epoch, and the epoch that the row shows never falls.
+BOOST_AUTO_TEST_CASE(NoTwoNodesEverHoldTheSameEpoch) {
+  for (uint32_t seed = 1; seed <= 300; ++seed) {
+    std::mt19937 random(seed);
+    lease_store store;
+    std::vector<placement_lease> nodes;
+    for (int i = 0; i < 4; ++i) {
+      placement_lease::terms terms;
+      terms.delay = Milliseconds(100 * i);
+      nodes.emplace_back(vm_id("n" + std::to_string(i)), i + 1, terms);
+    }
+    std::map<int64_t, std::size_t> holder_of;
+    std::vector<int64_t> frozen_until(nodes.size());
+    int64_t outage_until = 0;
+    int64_t highest = 0;
+    for (int64_t ms = 0; ms < 40000; ms += 50) {
+      if (random() % 200 == 0)
+        outage_until = ms + random() % 6000;
+      for (std::size_t i = 0; i < nodes.size(); ++i) {
+        if (random() % 400 == 0)
+          frozen_until[i] = ms + random() % 7000;
+        if (ms < frozen_until[i])
+          continue;
+        placement_lease& node = nodes[i];
+        const lease_step step = node.Next(At(ms));
+        if (step.what == action::none)
+          continue;
+        if (ms < outage_until) {
+          node.OnFailure(At(ms));
+        } else if (random() % 10 == 0) {
+          // The answer is lost, whether or not the write was made.
+          if (step.what == action::write && random() % 2 == 0)
+            store.Write(step);
+          node.OnFailure(At(ms));
+        } else {
+          store.Serve(node, step, At(ms));
+        }
+        if (node.Holds(At(ms))) {
+          const auto [known, fresh] =
+              holder_of.emplace(node.fencing().count(), i);
+          BOOST_REQUIRE_MESSAGE(known->second == i, "seed " << seed);
+        }
+        for (std::size_t j = 0; j < nodes.size(); ++j) {
+          if (j != i && node.Holds(At(ms)) && random() % 3 == 0)
+            nodes[j].OnHolderDigest(vm_id("n" + std::to_string(i)),
+                                    node.fencing(), node.version(), At(ms));
+        }
+      }
+      if (store.row) {
+        BOOST_REQUIRE(store.row->fencing.count() >= highest);
+        highest = store.row->fencing.count();
+      }
+    }
+    BOOST_TEST(highest > 0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ReadsBackItsRow) {
+  const authority_row row{vm_id("a"), 18446744073709551615ULL, epoch(7)};
+  BOOST_TEST((DecodeAuthority(EncodeAuthority(row)).value() == row));
+  for (const char* text :
+       {"", "[]", "{}", R"({"holder":"a","incarnation":"x","epoch":1})",
+        R"({"holder":"a","incarnation":"1"})"})
+    BOOST_TEST(!DecodeAuthority(text));
+}
+
+}  // namespace
+}  // namespace jasminepath::gateway
--- /dev/null
+++ b/packages/http/tests/client_test.cc
@@ -0,0 +1,135 @@
+#include "jasminepath/http/client.h"
+
+#include "loop_fixture.h"
+
+namespace jasminepath::http {
+namespace {
+
+const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr char kAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+BOOST_FIXTURE_TEST_CASE(TakesAnswersOverOneConnection, loop_fixture) {
+  canned_peer peer(*this, {kAnswer, kAnswer});
+  client subject(loop, peer.address());
+  for (int i = 0; i < 2; ++i) {
+    collecting_sink sink;
+    const auto call = subject.Send(kRequest, false, {}, sink);
+    RunUntil([&] { return sink.done(); });
+    BOOST_TEST(sink.body == "ok");
+  }
+  BOOST_TEST(peer.connections() == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(OpensANewConnectionWhereNoneMayBeUsedAgain,
+                        loop_fixture) {
+  canned_peer peer(*this, {kAnswer, kAnswer});
+  client subject(loop, peer.address());
+  call_options options;
+  options.reuse_within = duration::zero();
+  for (int i = 0; i < 2; ++i) {
+    collecting_sink sink;
+    const auto call = subject.Send(kRequest, false, options, sink);
+    RunUntil([&] { return sink.done(); });
+  }
+  BOOST_TEST(peer.connections() == 2);
+}
+
+// An extra answer stands where the next one is expected.
+BOOST_FIXTURE_TEST_CASE(SkipsAnAnswerThatBelongsToAnotherRequest,
+                        loop_fixture) {
+  canned_peer peer(
+      *this, {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray" +
+              std::string(kAnswer)});
+  client subject(loop, peer.address());
+  collecting_sink sink;
+  sink.skip_next = true;
+  const auto call = subject.Send(kRequest, false, {}, sink);
+  RunUntil([&] { return sink.done(); });
+  BOOST_TEST(sink.ended);
+  BOOST_TEST(sink.body == "ok");
+}
+
+BOOST_FIXTURE_TEST_CASE(TakesAnAnswerThatEndsWithItsConnection, loop_fixture) {
+  canned_peer peer(*this, {"HTTP/1.1 200 OK\r\n\r\nwhole"});
+  peer.CloseAfterAnswer(false);
+  client subject(loop, peer.address());
+  collecting_sink sink;
+  const auto call = subject.Send(kRequest, false, {}, sink);
+  RunUntil([&] { return sink.done(); });
+  BOOST_TEST(sink.ended);
+  BOOST_TEST(sink.body == "whole");
+}
+
+BOOST_FIXTURE_TEST_CASE(ReportsWhatIsNoWholeAnswer, loop_fixture) {
+  struct row {
+    const char* bytes;
+    call_failure expected;
+  };
+  for (const row& item :
+       {row{"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nshort",
+            call_failure::broken},
+        row{"no answer at all\r\n\r\n", call_failure::malformed},
+        row{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nab",
+            call_failure::broken},
+        row{"", call_failure::broken}}) {
+    canned_peer peer(*this, {item.bytes});
+    peer.CloseAfterAnswer(false);
+    client subject(loop, peer.address());
+    collecting_sink sink;
+    const auto call = subject.Send(kRequest, false, {}, sink);
+    RunUntil([&] { return sink.done(); });
+    BOOST_TEST((sink.failure == item.expected));
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(ReportsAResetAnswerWithoutLengthAsBroken,
+                        loop_fixture) {
+  canned_peer peer(*this, {"HTTP/1.1 200 OK\r\n\r\nhalf"});
+  peer.CloseAfterAnswer(true);
+  client subject(loop, peer.address());
+  collecting_sink sink;
+  const auto call = subject.Send(kRequest, false, {}, sink);
+  RunUntil([&] { return sink.done(); });
+  BOOST_TEST((sink.failure == call_failure::broken));
+}
+
+BOOST_FIXTURE_TEST_CASE(ReportsARefusedConnectionAsNotSent, loop_fixture) {
+  boost::asio::ip::tcp::endpoint closed;
+  {
+    canned_peer peer(*this, {});
+    closed = peer.address();
+  }
+  client subject(loop, closed);
+  collecting_sink sink;
+  const auto call = subject.Send(kRequest, false, {}, sink);
+  RunUntil([&] { return sink.done(); });
+  BOOST_TEST((sink.failure == call_failure::not_sent));
+}
+
+BOOST_FIXTURE_TEST_CASE(ReportsSilence, loop_fixture) {
+  canned_peer peer(*this, {});
+  client subject(loop, peer.address());
+  call_options options;
+  options.head_timeout = Milliseconds(30);
+  collecting_sink sink;
+  const auto call = subject.Send(kRequest, false, options, sink);
+  RunUntil([&] { return sink.done(); });
+  BOOST_TEST((sink.failure == call_failure::timed_out));
+}
+
+BOOST_FIXTURE_TEST_CASE(WholeCallHandsOverTheAnswer, loop_fixture) {
+  canned_peer peer(*this, {kAnswer});
+  client subject(loop, peer.address());
+  std::string body;
+  const whole_call call(loop, subject, {"GET", "/", {{"Host", "h"}}, ""},
+                        Seconds(5),
+                        [&](const response* answer, call_failure) {
+                          BOOST_REQUIRE(answer != nullptr);
+                          body = answer->body;
+                        });
+  RunUntil([&] { return !body.empty(); });
+  BOOST_TEST(body == "ok");
+}
+
+}  // namespace
+}  // namespace jasminepath::http
--- /dev/null
+++ b/packages/http/tests/loop_fixture.h
@@ -0,0 +1,187 @@
+#ifndef JASMINEPATH_HTTP_TESTS_LOOP_FIXTURE_H_
+#define JASMINEPATH_HTTP_TESTS_LOOP_FIXTURE_H_
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "jasminepath/http/client.h"
+#include "jasminepath/http/server.h"
+
+namespace jasminepath::http {
+
+// How long a test waits for what has to happen; only a hang reaches it.
+inline constexpr auto kTestPatience = std::chrono::seconds(10);
+
+// A loop that a test drives by hand.
+struct loop_fixture {
+  event_loop loop{1};
+
+  // Runs the loop until the condition holds.
+  void RunUntil(const std::function<bool()>& condition) {
+    const auto end = std::chrono::steady_clock::now() + kTestPatience;
+    while (!condition()) {
+      BOOST_REQUIRE(std::chrono::steady_clock::now() < end);
+      loop.restart();
+      loop.run_one_for(std::chrono::milliseconds(20));
+    }
+  }
+};
+
+// A client's socket without any understanding of HTTP.
+class raw_client {
+ public:
+  raw_client(loop_fixture& fixture, unsigned short port)
+      : fixture_(fixture), socket_(fixture.loop) {
+    socket_.connect({boost::asio::ip::make_address("127.0.0.1"), port});
+    socket_.non_blocking(true);
+  }
+
+  void Send(std::string_view bytes) {
+    boost::asio::write(socket_, boost::asio::buffer(bytes));
+  }
+
+  // Runs the loop until what came contains the text, or the peer has closed.
+  std::string ReadUntil(std::string_view text) {
+    fixture_.RunUntil([&] {
+      Poll();
+      return closed_ || received_.find(text) != std::string::npos;
+    });
+    return received_;
+  }
+  std::string ReadToEnd() {
+    fixture_.RunUntil([&] {
+      Poll();
+      return closed_;
+    });
+    return received_;
+  }
+  void Close() { socket_.close(); }
+
+ private:
+  void Poll() {
+    char buffer[4096];
+    boost::system::error_code error;
+    const std::size_t length =
+        socket_.read_some(boost::asio::buffer(buffer), error);
+    received_.append(buffer, length);
+    if (error && error != boost::asio::error::would_block)
+      closed_ = true;
+  }
+
+  loop_fixture& fixture_;
+  boost::asio::ip::tcp::socket socket_;
+  std::string received_;
+  bool closed_ = false;
+};
+
+// A peer that sends prepared bytes as soon as a request's head has come.
+class canned_peer {
+ public:
+  canned_peer(loop_fixture& fixture, std::vector<std::string> answers)
+      : acceptor_(fixture.loop,
+                  {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        answers_(std::move(answers)) {
+    Accept();
+  }
+
+  boost::asio::ip::tcp::endpoint address() const {
+    return acceptor_.local_endpoint();
+  }
+  // Closes each connection after its answer, or resets it.
+  void CloseAfterAnswer(bool reset) {
+    close_ = true;
+    reset_ = reset;
+  }
+  int connections() const { return connections_; }
+  const std::string& received() const { return received_; }
+
+ private:
+  struct connection {
+    explicit connection(boost::asio::ip::tcp::socket accepted)
+        : socket(std::move(accepted)) {}
+    boost::asio::ip::tcp::socket socket;
+    std::array<char, 4096> buffer{};
+    std::string head;
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](const boost::system::error_code& error,
+                                  boost::asio::ip::tcp::socket socket) {
+      if (error)
+        return;
+      ++connections_;
+      Read(std::make_shared<connection>(std::move(socket)));
+      Accept();
+    });
+  }
+  void Read(const std::shared_ptr<connection>& from) {
+    from->socket.async_read_some(
+        boost::asio::buffer(from->buffer),
+        [this, from](const boost::system::error_code& error,
+                     std::size_t length) {
+          if (error)
+            return;
+          from->head.append(from->buffer.data(), length);
+          received_.append(from->buffer.data(), length);
+          if (from->head.find("\r\n\r\n") != std::string::npos) {
+            from->head.clear();
+            Answer(*from);
+          }
+          if (from->socket.is_open())
+            Read(from);
+        });
+  }
+  void Answer(connection& to) {
+    if (next_ >= answers_.size())
+      return;
+    boost::asio::write(to.socket, boost::asio::buffer(answers_[next_++]));
+    if (!close_)
+      return;
+    if (reset_)
+      to.socket.set_option(boost::asio::socket_base::linger(true, 0));
+    to.socket.close();
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::vector<std::string> answers_;
+  std::size_t next_ = 0;
+  bool close_ = false;
+  bool reset_ = false;
+  int connections_ = 0;
+  std::string received_;
+};
+
+// Keeps everything that an answer brings.
+struct collecting_sink : response_sink {
+  bool OnHead(const response_head& taken) override {
+    if (skip_next) {
+      skip_next = false;
+      return false;
+    }
+    head = taken;
+    return true;
+  }
+  void OnBody(std::string_view piece) override { body.append(piece); }
+  void OnEnd() override { ended = true; }
+  void OnFailure(call_failure taken) override { failure = taken; }
+
+  bool done() const { return ended || failure; }
+
+  bool skip_next = false;
+  response_head head;
+  std::string body;
+  bool ended = false;
+  std::optional<call_failure> failure;
+};
+
+}  // namespace jasminepath::http
+
+#endif  // JASMINEPATH_HTTP_TESTS_LOOP_FIXTURE_H_
--- /dev/null
+++ b/packages/http/tests/server_test.cc
@@ -0,0 +1,175 @@
+#include "jasminepath/http/server.h"
+
+#include "loop_fixture.h"
+
+namespace jasminepath::http {
+namespace {
+
+// A server that keeps what it was asked and lets the test answer.
+struct server_fixture : loop_fixture {
+  server_fixture()
+      : subject(loop, [this](request message, std::shared_ptr<exchange> reply) {
+          requests.push_back(std::move(message));
+          replies.push_back(std::move(reply));
+          if (answer_at_once)
+            replies.back()->Respond({200, {{"Name", "value"}}},
+                                    "body of " + requests.back().target);
+        }) {
+    BOOST_REQUIRE(subject.Listen("127.0.0.1:0"));
+  }
+
+  std::vector<request> requests;
+  std::vector<std::shared_ptr<exchange>> replies;
+  bool answer_at_once = true;
+  server subject;
+};
+
+constexpr char kGet[] = "GET /a/b?c=d HTTP/1.1\r\nHost: h\r\n\r\n";
+
+BOOST_FIXTURE_TEST_CASE(AnswersARequest, server_fixture) {
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  const std::string answer = client.ReadUntil("body of");
+  BOOST_TEST(answer ==
+             "HTTP/1.1 200 OK\r\nName: value\r\nContent-Length: 16\r\n\r\n"
+             "body of /a/b?c=d");
+  BOOST_TEST(requests[0].headers.ValueOf("host") == "h");
+}
+
+BOOST_FIXTURE_TEST_CASE(TakesARequestByteByByte, server_fixture) {
+  raw_client client(*this, subject.port());
+  for (const char c :
+       std::string("POST /p HTTP/1.1\r\nHost: h\r\n"
+                   "Transfer-Encoding: chunked\r\n\r\n"
+                   "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")) {
+    client.Send({&c, 1});
+    loop.restart();
+    loop.poll();
+  }
+  client.ReadUntil("body of /p");
+  BOOST_TEST(requests.at(0).body == "abcde");
+}
+
+BOOST_FIXTURE_TEST_CASE(AnswersPipelinedRequestsInOrder, server_fixture) {
+  raw_client client(*this, subject.port());
+  client.Send(
+      "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n");
+  const std::string answers = client.ReadUntil("body of /2");
+  BOOST_TEST(answers.find("body of /1") < answers.find("body of /2"));
+}
+
+BOOST_FIXTURE_TEST_CASE(TakesABodyThatLooksLikeARequestAsABody,
+                        server_fixture) {
+  raw_client client(*this, subject.port());
+  const std::string hidden = kGet;
+  client.Send("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+              std::to_string(hidden.size()) + "\r\n\r\n" + hidden);
+  client.ReadUntil("body of");
+  BOOST_REQUIRE(requests.size() == 1);
+  BOOST_TEST(requests[0].body == hidden);
+}
+
+BOOST_FIXTURE_TEST_CASE(RejectsWhatIsAmbiguousOrMalformed, server_fixture) {
+  for (const std::string bytes :
+       {"POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+        "Content-Length: 4\r\n\r\nabcd",
+        "GET /p HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n",
+        "GET /p HTTP/1.1\r\n\r\n", "nonsense\r\n\r\n"}) {
+    raw_client client(*this, subject.port());
+    client.Send(bytes);
+    BOOST_TEST(client.ReadToEnd().starts_with("HTTP/1.1 400 "));
+  }
+  BOOST_TEST(requests.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(RejectsWhatExceedsTheLimits, server_fixture) {
+  server_limits limits;
+  limits.head_bytes = 200;
+  limits.body_bytes = 10;
+  subject.SetLimits(limits);
+  raw_client large_head(*this, subject.port());
+  large_head.Send("GET / HTTP/1.1\r\nHost: h\r\nA: " + std::string(300, 'a') +
+                  "\r\n\r\n");
+  BOOST_TEST(large_head.ReadToEnd().starts_with("HTTP/1.1 431 "));
+  raw_client large_body(*this, subject.port());
+  large_body.Send(
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n12345678901");
+  BOOST_TEST(large_body.ReadToEnd().starts_with("HTTP/1.1 413 "));
+}
+
+BOOST_FIXTURE_TEST_CASE(SeesTheDepartureOfAClientThatWaits, server_fixture) {
+  answer_at_once = false;
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  RunUntil([&] { return !replies.empty(); });
+  bool left = false;
+  replies[0]->OnDeparture([&] { left = true; });
+  client.Close();
+  RunUntil([&] { return left; });
+  BOOST_TEST(subject.busy_count() == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(CutsAnAbortedAnswerBeforeItsEnd, server_fixture) {
+  answer_at_once = false;
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  RunUntil([&] { return !replies.empty(); });
+  replies[0]->Start({200, {}});
+  replies[0]->Write("part");
+  client.ReadUntil("part");
+  replies[0]->Abort();
+  BOOST_TEST(client.ReadToEnd().find("0\r\n\r\n") == std::string::npos);
+}
+
+BOOST_FIXTURE_TEST_CASE(StreamsInChunks, server_fixture) {
+  answer_at_once = false;
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  RunUntil([&] { return !replies.empty(); });
+  replies[0]->Start({200, {}});
+  replies[0]->Write("first");
+  client.ReadUntil("5\r\nfirst\r\n");
+  replies[0]->Write("second");
+  replies[0]->Finish();
+  BOOST_TEST(client.ReadUntil("0\r\n\r\n").ends_with(
+      "5\r\nfirst\r\n6\r\nsecond\r\n0\r\n\r\n"));
+}
+
+BOOST_FIXTURE_TEST_CASE(AsksClientsToLeaveWhenDraining, server_fixture) {
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  client.ReadUntil("body of");
+  subject.BeginDrain();
+  client.Send(kGet);
+  BOOST_TEST(client.ReadToEnd().find("Connection: close") !=
+             std::string::npos);
+}
+
+// A request that reaches a connection which is being closed must not wait for
+// an answer that cannot come.
+BOOST_FIXTURE_TEST_CASE(ClosesAtOnceWhenARequestCrossesTheClose,
+                        server_fixture) {
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  client.ReadUntil("body of");
+  subject.StopAccepting();
+  client.Send(kGet);
+  const auto began = std::chrono::steady_clock::now();
+  RunUntil([&] { return subject.connection_count() == 0; });
+  BOOST_TEST(requests.size() == 1);
+  // The linger of an idle connection lasts a second.
+  BOOST_TEST((std::chrono::steady_clock::now() - began <
+              std::chrono::milliseconds(900)));
+}
+
+BOOST_AUTO_TEST_CASE(ReadsAddresses) {
+  BOOST_TEST(ParseEndpoint("127.0.0.1:80").value().port() == 80);
+  for (const char* text : {"", "127.0.0.1", "127.0.0.1:", "h:80", "1.2.3.4:x",
+                           "1.2.3.4:70000"})
+    BOOST_TEST(!ParseEndpoint(text));
+}
+
+}  // namespace
+}  // namespace jasminepath::http
