Reserve the weight store's turns; refuse early what cannot be loaded in time

Intended loads now count, copies ahead of demand are at most two and wait for real demand, nodes are told when a queued load can be ready, and the planner knows what runs by model.

--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -23,6 +23,8 @@
 // Requests of one node that run at an endpoint.
 struct endpoint_use {
   endpoint_id endpoint;
+  // Empty for a plain service.
+  model_id model;
   int64_t running = 0;
 
   friend bool operator==(const endpoint_use&, const endpoint_use&) = default;
--- a/packages/gateway/include/jasminepath/gateway/placement_planner.h
+++ b/packages/gateway/include/jasminepath/gateway/placement_planner.h
@@ -98,12 +98,13 @@
     time_point rate_at{};
     int64_t waiting = 0;
     int64_t running = 0;
-    time_point last_wanted{};
+    // When the nodes were last told how long a load will take.
+    time_point estimated_at{};
   };
 
   struct node_report {
     std::map<model_key, model_use> uses;
-    std::map<endpoint_id, int64_t> running;
+    std::map<std::pair<endpoint_id, model_id>, int64_t> running;
     time_point heard_at{};
   };
 
@@ -116,13 +117,15 @@
   bool OnTheWay(const model_id& model) const;
   int64_t ReplicaCount(const model_id& model) const;
   int64_t RunningOn(const engine_state& engine) const;
+  int64_t RunningOn(const engine_state& engine, const model_id& model) const;
   double RateOf(const model_id& model, time_point now) const;
   double KeepValue(const engine_state& engine,
                    const model_id& model,
                    time_point now) const;
   duration LoadTime(const engine_state& engine, const model_spec& spec) const;
   bool FromStore(const engine_state& engine, const model_id& model) const;
-  bool StoreHasRoom(time_point now) const;
+  int64_t StoreLoads() const;
+  bool StoreHasRoom() const;
   void Refill(time_point now);
   void ApplyState(engine_state& engine,
                   const std::vector<resident_model>& models,
@@ -144,6 +147,8 @@
              std::vector<engine_order>& orders);
   void ContinueIntents(time_point now, std::vector<engine_order>& orders);
   void PlaceWanted(time_point now, std::vector<engine_order>& orders);
+  // Tells the nodes how long a model will take that cannot be placed yet.
+  void Estimate(const model_id& model, int64_t queued, time_point now);
   void PlaceReplicas(time_point now, std::vector<engine_order>& orders);
   void PlaceCopies(time_point now, std::vector<engine_order>& orders);
   void PlaceAdapters(time_point now, std::vector<engine_order>& orders);
--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -13,6 +13,9 @@
 constexpr duration kLeastTimeToSend = Milliseconds(40);
 // Sends of one request, those included that an endpoint refused to run.
 constexpr int64_t kMostSends = 4;
+// How long a request waits for a load after the time at which it should be
+// complete, or that nobody has announced.
+constexpr duration kLoadPatience = Seconds(2);
 // Connections that are idle for longer are not used for requests that may run
 // once only, since the peer may be closing them.
 constexpr duration kReuseForOnce = Milliseconds(1000);
@@ -124,12 +127,11 @@
           ? *request_.prompt_tokens + request_.output_tokens.value_or(0)
           : team_.plain_tokens;
   const time_point now = boot_clock::now();
-  if (!context_.limiter.Take(team_.id, size, now)) {
-    Refuse(429, "over_rate", context_.limiter.TimeToRefill(team_.id, now));
-    return false;
-  }
   charged_ = size;
-  return true;
+  if (context_.limiter.Take(team_.id, size, now))
+    return true;
+  Refuse(429, "over_rate", context_.limiter.TimeToRefill(team_.id, now));
+  return false;
 }
 
 void call_session::ChooseService() {
@@ -195,6 +197,8 @@
   if (for_load && ready_at > deadline_ - kLeastTimeToSend)
     return Refuse(503, "load_too_late",
                   std::max<duration>(ready_at - now, kRetrySoon));
+  if (for_load && now - std::max(ready_at, arrived_at_) > kLoadPatience)
+    return Refuse(503, "not_loaded", kRetrySoon);
   if (queued_ && queued_for_load_ == for_load)
     return;
   queued_ = true;
@@ -233,7 +237,7 @@
     context_.retries.For(service_).OnFirstAttempt();
   ++sends_;
   context_.metrics.CountAttempt();
-  context_.endpoints.Begin(*endpoint);
+  context_.endpoints.Begin(*endpoint, Query().model);
   attempt_.emplace();
   attempt_->endpoint = std::move(endpoint);
   attempt_->sent_at = now;
@@ -359,7 +363,8 @@
   silence_timer_.Cancel();
   if (attempt_->fields.closing)
     attempt_->endpoint->client->CloseIdle();
-  context_.endpoints.End(*attempt_->endpoint, end, boot_clock::now());
+  context_.endpoints.End(*attempt_->endpoint, Query().model, end,
+                         boot_clock::now());
   attempt_.reset();
   context_.queue.WakeAll();
 }
@@ -489,12 +494,11 @@
 void call_session::Refuse(int status,
                           std::string_view reason,
                           duration retry_after) {
-  if (charged_ > 0)
-    context_.limiter.Return(team_.id, charged_);
-  charged_ = 0;
   reply_->Respond(
       context_.codec.EncodeOwnAnswer(status, request_.id, retry_after), "");
   Log("refused", reason, status);
+  if (charged_ > 0 && status != 429)
+    context_.limiter.Return(team_.id, charged_);
   Finish("refused", status);
 }
 
@@ -538,6 +542,7 @@
        {"model", request_.model.value()},
        {"adapter", request_.adapter.value()},
        {"site_version", site_ ? site_->version() : 0},
+       {"tokens", charged_},
        {"sends", sends_},
        {"age_ms", ToMilliseconds(boot_clock::now() - arrived_at_)}});
 }
--- a/packages/gateway/src/endpoint_pool.cc
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -120,7 +120,7 @@
     endpoint->running_of_peers.erase(digest.node);
   for (const endpoint_use& use : digest.endpoints) {
     if (const auto endpoint = Find(use.endpoint))
-      endpoint->running_of_peers[digest.node] = use.running;
+      endpoint->running_of_peers[digest.node] += use.running;
   }
 }
 
@@ -234,10 +234,17 @@
   return {best, pick_miss::none};
 }
 
+void endpoint_pool::Begin(pooled_endpoint& endpoint, const model_id& model) {
+  ++endpoint.running;
+  ++endpoint.running_by_model[model];
+}
+
 void endpoint_pool::End(pooled_endpoint& endpoint,
+                        const model_id& model,
                         decision::attempt_end end,
                         time_point now) {
   --endpoint.running;
+  --endpoint.running_by_model[model];
   endpoint.health.OnEnd(end, endpoint.running, now, limits_);
 }
 
@@ -268,8 +275,10 @@
 std::vector<endpoint_use> endpoint_pool::Running() const {
   std::vector<endpoint_use> uses;
   for (const auto& [id, endpoint] : endpoints_) {
-    if (endpoint->running > 0)
-      uses.push_back({id, endpoint->running});
+    for (const auto& [model, running] : endpoint->running_by_model) {
+      if (running > 0)
+        uses.push_back({id, model, running});
+    }
   }
   return uses;
 }
--- a/packages/gateway/src/endpoint_pool.h
+++ b/packages/gateway/src/endpoint_pool.h
@@ -43,6 +43,8 @@
   // Requests of this node and of its peers that run there.
   int64_t running = 0;
   std::map<vm_id, int64_t> running_of_peers;
+  // Those of this node by model.
+  std::map<model_id, int64_t> running_by_model;
   // When anything was last received from it.
   time_point heard_at{};
   // Models and adapters about to be dropped, until the entry shows it.
@@ -87,8 +89,9 @@
   choice Pick(const endpoint_query& query, time_point now);
 
   // An attempt begins, and ends.
-  void Begin(pooled_endpoint& endpoint) { ++endpoint.running; }
+  void Begin(pooled_endpoint& endpoint, const model_id& model);
   void End(pooled_endpoint& endpoint,
+           const model_id& model,
            decision::attempt_end end,
            time_point now);
   // An endpoint says that it doesn't hold what it was thought to hold.
@@ -100,7 +103,7 @@
   std::shared_ptr<pooled_endpoint> Find(const endpoint_id& id) const;
   // Entries of all endpoints that are listed.
   std::vector<endpoint_entry> Entries() const;
-  // This node's requests at each endpoint.
+  // This node's requests at each endpoint, by model.
   std::vector<endpoint_use> Running() const;
   std::size_t opened_connections() const;
 
--- a/packages/gateway/src/peer_digest.cc
+++ b/packages/gateway/src/peer_digest.cc
@@ -23,7 +23,7 @@
 template <typename Message, typename Visitor>
 requires std::is_same_v<std::remove_const_t<Message>, endpoint_use>
 void ForEachField(Message& m, Visitor&& visit) {
-  visit(m.endpoint, m.running);
+  visit(m.endpoint, m.model, m.running);
 }
 template <typename Message, typename Visitor>
 requires std::is_same_v<std::remove_const_t<Message>, model_use>
--- a/packages/gateway/src/placement_planner.cc
+++ b/packages/gateway/src/placement_planner.cc
@@ -36,6 +36,13 @@
 // Worth of a waiting request in units of requests a second, so that it
 // displaces all but busy models.
 constexpr double kWaitingWorth = 5.0;
+// Worth of a running request of a model that would be dropped.
+constexpr double kRunningWorth = 0.15;
+// Loads from the weight store ahead of any demand.
+constexpr int64_t kCopyLoadsAtOnce = 2;
+// The nodes are told at this interval how long a load will take that cannot
+// begin yet.
+constexpr duration kEstimateInterval = Milliseconds(500);
 // An engine that leaves within this time is given nothing new.
 constexpr duration kLeavingSoon = Seconds(60);
 
@@ -110,8 +117,16 @@
 
 int64_t placement_planner::RunningOn(const engine_state& engine) const {
   int64_t running = 0;
+  for (const model_id& model : engine.residents)
+    running += RunningOn(engine, model);
+  return running;
+}
+
+int64_t placement_planner::RunningOn(const engine_state& engine,
+                                     const model_id& model) const {
+  int64_t running = 0;
   for (const auto& [node, report] : nodes_) {
-    const auto found = report.running.find(engine.entry.id);
+    const auto found = report.running.find({engine.entry.id, model});
     if (found != report.running.end())
       running += found->second;
   }
@@ -154,8 +169,10 @@
   if (found != models_.end()) {
     if (replicas <= 1 && found->second.waiting > 0)
       value += kWaitingWorth;
-    value += 0.02 * static_cast<double>(found->second.running) / replicas;
   }
+  // An unload waits for what runs.
+  value += kRunningWorth *
+           static_cast<double>(std::min<int64_t>(RunningOn(engine, model), 10));
   if (!engine.copies.contains(model))
     value += 0.2;
   return value;
@@ -168,14 +185,19 @@
       std::min(store_tokens_ + elapsed * spec_.loads_per_second, kStoreBurst);
 }
 
-bool placement_planner::StoreHasRoom(time_point) const {
-  if (store_tokens_ < 1.0)
-    return false;
-  const auto loading =
-      std::count_if(engines_.begin(), engines_.end(), [](const auto& item) {
-        return item.second.pending && item.second.pending->from_store;
-      });
-  return loading < kStoreLoadsAtOnce;
+// Loads from the weight store under way, and those that begin once there is
+// room for them.
+int64_t placement_planner::StoreLoads() const {
+  return std::count_if(engines_.begin(), engines_.end(), [&](const auto& item) {
+    const engine_state& engine = item.second;
+    if (engine.intent)
+      return FromStore(engine, *engine.intent);
+    return engine.pending && engine.pending->from_store;
+  });
+}
+
+bool placement_planner::StoreHasRoom() const {
+  return store_tokens_ >= 1.0 && StoreLoads() < kStoreLoadsAtOnce;
 }
 
 void placement_planner::Begin(time_point now) {
@@ -311,7 +333,7 @@
   report.heard_at = now;
   report.running.clear();
   for (const endpoint_use& use : digest.endpoints)
-    report.running[use.endpoint] = use.running;
+    report.running[{use.endpoint, use.model}] = use.running;
   for (auto& [key, use] : report.uses)
     use.waiting = 0;
   for (const model_use& use : digest.models) {
@@ -329,7 +351,6 @@
     const double rate = RateOf(use.model, now);
     model.rate = rate + static_cast<double>(fresh) / kRateSeconds;
     model.rate_at = now;
-    model.last_wanted = now;
     if (use.adapter.empty())
       continue;
     for (auto& [id, engine] : engines_) {
@@ -359,17 +380,8 @@
     }
   }
   for (const auto& [id, engine] : engines_) {
-    if (engine.residents.empty())
-      continue;
-    const int64_t running = RunningOn(engine);
-    double total = 0;
     for (const model_id& model : engine.residents)
-      total += RateOf(model, now);
-    for (const model_id& model : engine.residents) {
-      if (total > 0)
-        models_[model].running += static_cast<int64_t>(
-            static_cast<double>(running) * RateOf(model, now) / total);
-    }
+      models_[model].running += RunningOn(engine, model);
   }
 }
 
@@ -398,7 +410,7 @@
       continue;
     }
     if (UsedMemory(engine) + spec->weight_mb <= spec_.weight_mb) {
-      if (FromStore(engine, model) && !StoreHasRoom(now))
+      if (FromStore(engine, model) && store_tokens_ < 1.0)
         continue;
       engine.intent.reset();
       Give(engine, order_kind::load, model, {}, now, orders);
@@ -439,7 +451,7 @@
   for (auto& [id, engine] : engines_) {
     if (!Idle(engine, now) || Resident(engine, model))
       continue;
-    if (FromStore(engine, model) && (!allow_store || !StoreHasRoom(now)))
+    if (FromStore(engine, model) && (!allow_store || !StoreHasRoom()))
       continue;
     const bool free = UsedMemory(engine) + spec->weight_mb <= spec_.weight_mb;
     double displaced = 0;
@@ -479,8 +491,34 @@
       wanted.emplace_back(-model.waiting, id);
   }
   std::sort(wanted.begin(), wanted.end());
-  for (const auto& [waiting, id] : wanted)
-    Place(id, kWaitingWorth - static_cast<double>(waiting), true, now, orders);
+  int64_t queued = 0;
+  for (const auto& [waiting, id] : wanted) {
+    const double worth = kWaitingWorth - static_cast<double>(waiting);
+    if (!Place(id, worth, true, now, orders))
+      Estimate(id, queued++, now);
+  }
+}
+
+void placement_planner::Estimate(const model_id& model,
+                                 int64_t queued,
+                                 time_point now) {
+  const model_spec* spec = Spec(model);
+  model_state& state = models_[model];
+  if (spec == nullptr || now - state.estimated_at < kEstimateInterval)
+    return;
+  state.estimated_at = now;
+  const bool copied =
+      std::any_of(engines_.begin(), engines_.end(), [&](const auto& item) {
+        return Usable(item.second) && !FromStore(item.second, model);
+      });
+  // A copy has to wait for its engine; without one, for its turn at the store.
+  const int64_t rounds = (StoreLoads() + queued) / kStoreLoadsAtOnce + 1;
+  const duration time = copied ? spec->disk_load : spec->store_load * rounds;
+  load_notice notice;
+  notice.model = model;
+  notice.change = load_change::loading;
+  notice.ready_in_ms = ToMilliseconds(time);
+  notices_.push_back(std::move(notice));
 }
 
 void placement_planner::PlaceReplicas(time_point now,
@@ -499,8 +537,14 @@
 
 void placement_planner::PlaceCopies(time_point now,
                                     std::vector<engine_order>& orders) {
+  const bool anybody_waits =
+      std::any_of(models_.begin(), models_.end(), [this](const auto& item) {
+        return item.second.waiting > 0 && ReplicaCount(item.first) == 0;
+      });
+  if (anybody_waits)
+    return;
   for (const model_spec& spec : spec_.models) {
-    if (!StoreHasRoom(now))
+    if (StoreLoads() >= kCopyLoadsAtOnce || !StoreHasRoom())
       return;
     const bool somewhere =
         std::any_of(engines_.begin(), engines_.end(), [&](const auto& item) {
--- a/packages/gateway/tests/engine_world.h
+++ b/packages/gateway/tests/engine_world.h
@@ -226,8 +226,8 @@
     for (simulated_engine& engine : engines)
       engine.Advance(now_ms);
     while (!late.empty() && late.front().first <= now_ms) {
-      EngineOf(late.front().second).Take(late.front().second, now_ms,
-                                         store_loads);
+      EngineOf(late.front().second)
+          .Take(late.front().second, now_ms, store_loads);
       late.pop_front();
     }
     if (now_ms % 50 == 0)
@@ -258,9 +258,8 @@
                        [](const auto& engine) { return engine.exceeded(); });
   }
   int64_t ReplicasOf(const model_id& model) const {
-    return std::count_if(
-        engines.begin(), engines.end(),
-        [&](const auto& engine) { return engine.Has(model); });
+    return std::count_if(engines.begin(), engines.end(),
+                         [&](const auto& engine) { return engine.Has(model); });
   }
   // The most loads from the weight store that began within 5 s.
   int64_t MostStoreLoads() const {
--- a/packages/gateway/tests/gateway_parts_test.cc
+++ b/packages/gateway/tests/gateway_parts_test.cc
@@ -49,7 +49,8 @@
 BOOST_FIXTURE_TEST_CASE(CountsTheLoadOfPeers, pool_fixture) {
   peer_digest digest;
   digest.node = vm_id("peer");
-  digest.endpoints = {{endpoint_id("e1"), 4}};
+  digest.endpoints = {{endpoint_id("e1"), model_id("m"), 3},
+                      {endpoint_id("e1"), model_id("n"), 1}};
   pool.OnDigest(digest);
   BOOST_TEST(Picked() == "e2");
   pool.ForgetPeer(vm_id("peer"));
@@ -90,7 +91,7 @@
 BOOST_FIXTURE_TEST_CASE(WaitsWhereAllAreFull, pool_fixture) {
   for (const char* id : {"e1", "e2"}) {
     for (int i = 0; i < 4; ++i)
-      pool.Begin(*pool.Find(endpoint_id(id)));
+      pool.Begin(*pool.Find(endpoint_id(id)), model_id("m"));
   }
   BOOST_TEST((pool.Pick(query, At(0)).miss == pick_miss::full));
 }
@@ -98,8 +99,9 @@
 BOOST_FIXTURE_TEST_CASE(EjectsAFailingEndpointButNeverTheLast, pool_fixture) {
   for (int i = 0; i < 3; ++i) {
     auto endpoint = pool.Find(endpoint_id("e1"));
-    pool.Begin(*endpoint);
-    pool.End(*endpoint, decision::attempt_end::server_error, At(0));
+    pool.Begin(*endpoint, model_id("m"));
+    pool.End(*endpoint, model_id("m"), decision::attempt_end::server_error,
+             At(0));
   }
   BOOST_TEST(Picked() == "e2");
   pool.Apply({entries[0]}, {}, At(0));
@@ -114,7 +116,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(ARestartedEndpointBeginsAnew, pool_fixture) {
-  pool.Begin(*pool.Find(endpoint_id("e1")));
+  pool.Begin(*pool.Find(endpoint_id("e1")), model_id("m"));
   entries[0].started_at_ms = 2;
   pool.Apply(entries, {}, At(0));
   BOOST_TEST(pool.Find(endpoint_id("e1"))->running == 0);
@@ -159,7 +161,7 @@
   digest.node = vm_id("n");
   digest.incarnation = 18446744073709551615ULL;
   digest.teams = {{team_id("t"), 5}};
-  digest.endpoints = {{endpoint_id("e"), 2}};
+  digest.endpoints = {{endpoint_id("e"), model_id("m"), 2}};
   digest.models = {{model_id("m"), adapter_id("a"), 1, 9}};
   digest.crashes = {{77, 2}};
   digest.leaving = true;
@@ -167,8 +169,8 @@
   BOOST_TEST((DecodePeerMessage(bytes) == peer_message(digest)));
   load_notice notice;
   notice.change = load_change::closing;
-  BOOST_TEST((DecodePeerMessage(EncodePeerMessage(notice)) ==
-              peer_message(notice)));
+  BOOST_TEST(
+      (DecodePeerMessage(EncodePeerMessage(notice)) == peer_message(notice)));
   for (std::size_t length = 0; length < bytes.size(); ++length)
     BOOST_TEST(!DecodePeerMessage(bytes.substr(0, length)));
   BOOST_TEST(!DecodePeerMessage("nonsense"));
--- a/packages/gateway/tests/placement_planner_test.cc
+++ b/packages/gateway/tests/placement_planner_test.cc
@@ -35,10 +35,10 @@
   world.Run(500);
   world.Want(Model(1), adapter_id("a1"), 1);
   world.Run(200);
-  BOOST_TEST(std::any_of(
-      world.engines.begin(), world.engines.end(), [](const auto& engine) {
-        return engine.HasAdapter(Model(1), adapter_id("a1"));
-      }));
+  BOOST_TEST(std::any_of(world.engines.begin(), world.engines.end(),
+                         [](const auto& engine) {
+                           return engine.HasAdapter(Model(1), adapter_id("a1"));
+                         }));
 }
 
 BOOST_AUTO_TEST_CASE(ReplacesTheAdapterUsedLongestAgo) {
--- a/packages/http/tests/client_test.cc
+++ b/packages/http/tests/client_test.cc
@@ -37,9 +37,8 @@
 // An extra answer stands where the next one is expected.
 BOOST_FIXTURE_TEST_CASE(SkipsAnAnswerThatBelongsToAnotherRequest,
                         loop_fixture) {
-  canned_peer peer(
-      *this, {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray" +
-              std::string(kAnswer)});
+  canned_peer peer(*this, {"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray" +
+                           std::string(kAnswer)});
   client subject(loop, peer.address());
   collecting_sink sink;
   sink.skip_next = true;
@@ -122,8 +121,7 @@
   client subject(loop, peer.address());
   std::string body;
   const whole_call call(loop, subject, {"GET", "/", {{"Host", "h"}}, ""},
-                        Seconds(5),
-                        [&](const response* answer, call_failure) {
+                        Seconds(5), [&](const response* answer, call_failure) {
                           BOOST_REQUIRE(answer != nullptr);
                           body = answer->body;
                         });
--- a/packages/http/tests/server_test.cc
+++ b/packages/http/tests/server_test.cc
@@ -38,10 +38,9 @@
 
 BOOST_FIXTURE_TEST_CASE(TakesARequestByteByByte, server_fixture) {
   raw_client client(*this, subject.port());
-  for (const char c :
-       std::string("POST /p HTTP/1.1\r\nHost: h\r\n"
-                   "Transfer-Encoding: chunked\r\n\r\n"
-                   "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")) {
+  for (const char c : std::string("POST /p HTTP/1.1\r\nHost: h\r\n"
+                                  "Transfer-Encoding: chunked\r\n\r\n"
+                                  "3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")) {
     client.Send({&c, 1});
     loop.restart();
     loop.poll();
@@ -133,8 +132,8 @@
   client.ReadUntil("5\r\nfirst\r\n");
   replies[0]->Write("second");
   replies[0]->Finish();
-  BOOST_TEST(client.ReadUntil("0\r\n\r\n").ends_with(
-      "5\r\nfirst\r\n6\r\nsecond\r\n0\r\n\r\n"));
+  BOOST_TEST(client.ReadUntil("0\r\n\r\n")
+                 .ends_with("5\r\nfirst\r\n6\r\nsecond\r\n0\r\n\r\n"));
 }
 
 BOOST_FIXTURE_TEST_CASE(AsksClientsToLeaveWhenDraining, server_fixture) {
@@ -143,8 +142,7 @@
   client.ReadUntil("body of");
   subject.BeginDrain();
   client.Send(kGet);
-  BOOST_TEST(client.ReadToEnd().find("Connection: close") !=
-             std::string::npos);
+  BOOST_TEST(client.ReadToEnd().find("Connection: close") != std::string::npos);
 }
 
 // A request that reaches a connection which is being closed must not wait for
@@ -166,8 +164,8 @@
 
 BOOST_AUTO_TEST_CASE(ReadsAddresses) {
   BOOST_TEST(ParseEndpoint("127.0.0.1:80").value().port() == 80);
-  for (const char* text : {"", "127.0.0.1", "127.0.0.1:", "h:80", "1.2.3.4:x",
-                           "1.2.3.4:70000"})
+  for (const char* text :
+       {"", "127.0.0.1", "127.0.0.1:", "h:80", "1.2.3.4:x", "1.2.3.4:70000"})
     BOOST_TEST(!ParseEndpoint(text));
 }
 
