Read facts once a zone and exchange digests between zones by one speaker each

One node a zone now reads the endpoint list and two the configuration; they pass changes on, and nodes that are behind fetch a copy.

--- a/packages/gateway/include/jasminepath/gateway/fleet_rate_limiter.h
+++ b/packages/gateway/include/jasminepath/gateway/fleet_rate_limiter.h
@@ -54,12 +54,15 @@
     uint64_t incarnation = 0;
     uint64_t sequence = 0;
     time_point heard_at{};
+    // Nodes that it speaks for.
+    int64_t nodes = 1;
     std::map<team_id, int64_t> used;
     // Charged for the time of its silence.
     std::map<team_id, double> assumed;
   };
 
   void Fill(time_point now);
+  void Charge(const team_id& team, double tokens);
 
   int64_t node_count_ = 1;
   std::map<team_id, bucket> buckets_;
--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -50,11 +50,17 @@
   friend bool operator==(const crash_count&, const crash_count&) = default;
 };
 
-// What a node tells its peers of itself, several times a second. Each digest
-// stands for itself, so that a lost one does no harm.
+// What a node tells its peers of itself, several times a second, or what one
+// node of a zone tells other zones of all nodes of its own. Each digest stands
+// for itself, so that a lost one does no harm.
 struct peer_digest {
+  // The node, or for a whole zone a name of its own.
   vm_id node;
   zone_id zone;
+  // Nodes that it speaks for.
+  int64_t nodes = 1;
+  // Speaks for a zone.
+  bool whole_zone = false;
   // Drawn at each start of the process.
   uint64_t incarnation = 0;
   // Rises with each digest of an incarnation.
@@ -65,8 +71,9 @@
   // that it knows.
   int64_t site_change = 0;
   int64_t endpoints_change = 0;
-  // Fencing token of the placement authority if it holds it, and the version
-  // of the authority's row.
+  // The holder of the placement authority if it is one of its nodes, the
+  // fencing token, and the version of the authority's row; else empty and 0.
+  vm_id authority_holder;
   int64_t authority_epoch = 0;
   int64_t authority_version = 0;
   std::vector<team_use> teams;
@@ -96,7 +103,33 @@
   friend bool operator==(const load_notice&, const load_notice&) = default;
 };
 
-using peer_message = std::variant<peer_digest, load_notice>;
+// A row of a table that has changed.
+struct changed_row {
+  std::string key;
+  std::string value;
+  int64_t version = 0;
+  bool removed = false;
+
+  friend bool operator==(const changed_row&, const changed_row&) = default;
+};
+
+// Changes of a table that one node of a zone has read for the others.
+struct table_changes {
+  std::string table;
+  // IP:PORT of the facts of the node that has read them.
+  std::string facts_address;
+  // Version of the last change before these, of the last of these, and as of
+  // which the table is complete with them.
+  int64_t previous_change = 0;
+  int64_t last_change = 0;
+  int64_t complete_to = 0;
+  // Empty if they are too large for a datagram and have to be fetched.
+  std::vector<changed_row> rows;
+
+  friend bool operator==(const table_changes&, const table_changes&) = default;
+};
+
+using peer_message = std::variant<peer_digest, load_notice, table_changes>;
 
 // Bytes of one datagram.
 std::string EncodePeerMessage(const peer_message& message);
--- a/packages/gateway/include/jasminepath/gateway/placement_planner.h
+++ b/packages/gateway/include/jasminepath/gateway/placement_planner.h
@@ -38,6 +38,8 @@
                 time_point now);
   // What a node's callers ask for and what runs where.
   void OnDigest(const peer_digest& digest, time_point now);
+  // What a node's callers wait for now, ahead of the digest that counts them.
+  void OnWants(const peer_digest& digest, time_point now);
   void ForgetNode(const vm_id& node);
   void OnOrderAnswer(const engine_order& order,
                      order_verdict verdict,
@@ -102,10 +104,16 @@
     time_point estimated_at{};
   };
 
+  struct urgent_want {
+    int64_t waiting = 0;
+    time_point heard_at{};
+  };
+
   struct node_report {
     std::map<model_key, model_use> uses;
     std::map<std::pair<endpoint_id, model_id>, int64_t> running;
     time_point heard_at{};
+    uint64_t incarnation = 0;
   };
 
   const model_spec* Spec(const model_id& model) const;
@@ -173,6 +181,7 @@
   std::map<model_id, model_state> models_;
   std::map<model_key, int64_t> adapters_waiting_;
   std::map<vm_id, node_report> nodes_;
+  std::map<model_key, urgent_want> urgent_;
   std::vector<load_notice> notices_;
   // Loads from the weight store that may begin now.
   double store_tokens_ = 0;
--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -11,8 +11,11 @@
 constexpr duration kAnswerMargin = Milliseconds(30);
 // Least time left with which a request is still sent to an endpoint.
 constexpr duration kLeastTimeToSend = Milliseconds(40);
-// Sends of one request, those included that an endpoint refused to run.
-constexpr int64_t kMostSends = 4;
+// Attempts at one request, those included that an endpoint refused to run or
+// that found no connection.
+constexpr int64_t kMostTries = 6;
+// How long a request stays away from an endpoint that has failed it.
+constexpr duration kAvoidTime = Milliseconds(250);
 // How long a request waits for a load after the time at which it should be
 // complete, or that nobody has announced.
 constexpr duration kLoadPatience = Seconds(2);
@@ -159,7 +162,11 @@
     query.adapter = request_.adapter;
     query.affinity = affinity_;
   }
-  query.avoid = avoid_;
+  const time_point now = boot_clock::now();
+  for (const auto& [endpoint, failed_at] : avoid_) {
+    if (now - failed_at < kAvoidTime)
+      query.avoid.push_back(endpoint);
+  }
   return query;
 }
 
@@ -179,8 +186,9 @@
     queued_ = false;
   }
   // Every send after the first one draws on the budget.
-  if (sends_ > 0 &&
-      (sends_ >= kMostSends || !context_.retries.For(service_).Take())) {
+  if (tries_ >= kMostTries)
+    return GiveUp();
+  if (sends_ > 0 && !context_.retries.For(service_).Take()) {
     Log("retry_denied", "budget", 0);
     return GiveUp();
   }
@@ -236,6 +244,7 @@
   if (sends_ == 0)
     context_.retries.For(service_).OnFirstAttempt();
   ++sends_;
+  ++tries_;
   context_.metrics.CountAttempt();
   context_.endpoints.Begin(*endpoint, Query().model);
   attempt_.emplace();
@@ -273,7 +282,7 @@
   call_.reset();
   const endpoint_id silent = attempt_->endpoint->entry.id;
   EndAttempt(decision::attempt_end::silent);
-  avoid_.push_back(silent);
+  Avoid(silent);
   splitter_.Reset();
   Log("attempt_failed", "silent", 0);
   const auto choice = context_.endpoints.Pick(Query(), boot_clock::now());
@@ -369,6 +378,10 @@
   context_.queue.WakeAll();
 }
 
+void call_session::Avoid(const endpoint_id& endpoint) {
+  avoid_.emplace_back(endpoint, boot_clock::now());
+}
+
 void call_session::OnEnd() {
   const auto keep = shared_from_this();
   call_.reset();
@@ -379,7 +392,7 @@
       context_.endpoints.OnNotHeld(*done.endpoint, request_.model,
                                    request_.adapter, boot_clock::now());
     EndAttempt(decision::attempt_end::refused);
-    avoid_.push_back(done.endpoint->entry.id);
+    Avoid(done.endpoint->entry.id);
     return AfterFailure(done.fields.not_run ? "not_run" : "misdirected");
   }
   ++runs_;
@@ -391,13 +404,13 @@
   if (done.relaying && route_->kind == request_kind::streaming &&
       splitter_.HasPartial()) {
     EndAttempt(decision::attempt_end::cut);
-    avoid_.push_back(done.endpoint->entry.id);
+    Avoid(done.endpoint->entry.id);
     splitter_.Reset();
     return AfterFailure("cut_event");
   }
   if (status >= 500 && !answer_started_) {
     EndAttempt(decision::attempt_end::server_error);
-    avoid_.push_back(done.endpoint->entry.id);
+    Avoid(done.endpoint->entry.id);
     endpoint_failure_ = http::response{done.head, done.body};
     return AfterFailure("status_" + std::to_string(status));
   }
@@ -431,7 +444,7 @@
     // repeat.
     --sends_;
   }
-  avoid_.push_back(done.endpoint->entry.id);
+  Avoid(done.endpoint->entry.id);
   splitter_.Reset();
   AfterFailure(std::string(http::NameOf(failure)));
 }
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "call_context.h"
@@ -63,6 +64,7 @@
   void RelayEvents(std::string_view piece);
   void Relay(std::string_view piece);
   void EndAttempt(decision::attempt_end end);
+  void Avoid(const endpoint_id& endpoint);
   // The attempt has failed; sends the request again or gives it up.
   void AfterFailure(const std::string& reason);
   bool MayRetry();
@@ -94,11 +96,14 @@
   http::timer silence_timer_;
   std::unique_ptr<http::call> call_;
   std::optional<attempt> attempt_;
-  std::vector<endpoint_id> avoid_;
+  // Endpoints that have just failed this call, and when.
+  std::vector<std::pair<endpoint_id, time_point>> avoid_;
   http::event_stream_splitter splitter_;
   std::optional<std::string> last_event_;
   int64_t runs_ = 0;
+  // Requests that left this node, and attempts at all.
   int64_t sends_ = 0;
+  int64_t tries_ = 0;
   // Some attempt may have run the request.
   bool may_have_run_ = false;
   bool answer_started_ = false;
--- a/packages/gateway/src/endpoint_pool.cc
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -183,8 +183,7 @@
   }
   if (able.empty())
     return {nullptr, any ? pick_miss::not_loaded : pick_miss::no_endpoint};
-  // Endpoints that are out of rotation or failed this request are used only if
-  // there are no others.
+  // Endpoints that are out of rotation are used only if there are no others.
   std::vector<std::shared_ptr<pooled_endpoint>> sound;
   for (const auto& endpoint : able) {
     const auto stage = endpoint->health.StageAt(now);
@@ -202,7 +201,7 @@
     }
   }
   if (sound.empty())
-    sound = able;
+    return {nullptr, pick_miss::full};
   // Rendezvous hashing: all nodes agree on the engine that keeps the shared
   // prompt parts.
   const pooled_endpoint* preferred = nullptr;
--- a/packages/gateway/src/endpoint_pool.h
+++ b/packages/gateway/src/endpoint_pool.h
@@ -28,7 +28,7 @@
   // Stable hash of what requests share that gain from the same engine; 0 if
   // nothing.
   uint64_t affinity = 0;
-  // Endpoints that have failed this request already.
+  // Endpoints that have just failed this request.
   std::vector<endpoint_id> avoid;
 
   friend bool operator==(const endpoint_query&,
--- a/packages/gateway/src/fact_relay.cc
+++ b/packages/gateway/src/fact_relay.cc
@@ -71,8 +71,11 @@
 void fact_relay::OnFetched(const http::response* answer,
                            const vm_id& peer,
                            table_follower& table) {
-  if (answer == nullptr || answer->head.status != 200)
+  if (answer == nullptr || answer->head.status != 200) {
+    log_.Write(report::log_level::warning, "facts_not_fetched",
+               {{"peer", peer.value()}, {"table", table.table()}});
     return;
+  }
   const auto packed = Decode(answer->body);
   if (!packed) {
     log_.Write(report::log_level::warning, "facts_unreadable",
--- a/packages/gateway/src/fleet_rate_limiter.cc
+++ b/packages/gateway/src/fleet_rate_limiter.cc
@@ -50,8 +50,9 @@
     for (auto& [node, state] : peers_) {
       if (now - state.heard_at < kPeerSilence)
         continue;
-      value.level -= elapsed * part;
-      state.assumed[id] += elapsed * part;
+      const double charge = elapsed * part * static_cast<double>(state.nodes);
+      value.level -= charge;
+      state.assumed[id] += charge;
     }
     value.level =
         std::clamp(value.level, -kMostDebtSeconds * value.rate, value.burst);
@@ -64,27 +65,38 @@
   const bool restarted = state.incarnation != digest.incarnation;
   if (!restarted && digest.sequence <= state.sequence)
     return;
-  const bool first = state.incarnation == 0;
+  // A zone's new speaker has a count of its own, most of which its predecessor
+  // has reported.
+  const bool first = state.incarnation == 0 || (restarted && digest.whole_zone);
   if (restarted)
     state.used.clear();
   state.incarnation = digest.incarnation;
   state.sequence = digest.sequence;
   state.heard_at = now;
+  state.nodes = digest.nodes;
+  // What was assumed for the time of its silence is replaced by what it says.
+  for (const auto& [team, tokens] : state.assumed)
+    Charge(team, -tokens);
+  state.assumed.clear();
   for (const team_use& use : digest.teams) {
     int64_t& known = state.used[use.team];
     const int64_t fresh = std::max<int64_t>(use.tokens - known, 0);
     known = std::max(known, use.tokens);
-    const auto found = buckets_.find(use.team);
     // What a peer used before this node knew it is already in the past.
-    if (found == buckets_.end() || first)
-      continue;
-    bucket& value = found->second;
-    const double assumed = std::exchange(state.assumed[use.team], 0.0);
-    value.level = std::clamp(value.level + assumed - static_cast<double>(fresh),
-                             -kMostDebtSeconds * value.rate, value.burst);
+    if (!first)
+      Charge(use.team, static_cast<double>(fresh));
   }
 }
 
+void fleet_rate_limiter::Charge(const team_id& team, double tokens) {
+  const auto found = buckets_.find(team);
+  if (found == buckets_.end())
+    return;
+  bucket& value = found->second;
+  value.level = std::clamp(value.level - tokens, -kMostDebtSeconds * value.rate,
+                           value.burst);
+}
+
 void fleet_rate_limiter::ForgetPeer(const vm_id& node) {
   peers_.erase(node);
 }
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -14,11 +14,19 @@
 // Table in which nodes register their addresses.
 constexpr char kNodeTable[] = "jasminepath-nodes";
 constexpr char kAddressField[] = "address";
+constexpr char kZoneField[] = "zone";
 constexpr char kMetricsPath[] = "/metrics";
 constexpr char kLogLevel[] = "info";
 
 // Interval of the node's own clock: leases, queues and silent peers.
 constexpr duration kTickInterval = Milliseconds(50);
+// Nodes of a zone that ask the store for changes of the endpoint list and of
+// the configuration.
+constexpr int64_t kEndpointReaders = 1;
+constexpr int64_t kSiteReaders = 2;
+// Bytes of rows that go into one datagram; larger changes are fetched over a
+// connection.
+constexpr std::size_t kMostDatagramRows = 8192;
 // Interval of digests; one is sent at once when a call begins to wait for a
 // model.
 constexpr duration kDigestInterval = Milliseconds(300);
@@ -86,7 +94,7 @@
               speech_,
               endpoints_,
               log_),
-      peers_(loop_, settings.node, log_),
+      peers_(loop_, settings.node, settings.zone, log_),
       relay_(loop_, log_),
       callers_(
           loop_,
@@ -124,7 +132,13 @@
   const auto bound = peers_.Open(settings_.peer_address());
   if (!bound)
     return failure(bound.error());
-  peers_.OnMessage([this](const peer_message& m) { OnPeerMessage(m); });
+  peers_.OnMessage([this](const peer_message& message, bool from_other_zone) {
+    OnPeerMessage(message, from_other_zone);
+  });
+  for (table_follower* table : {&site_rows_, &endpoint_rows_}) {
+    table->OnChanges(
+        [this](const table_changes& changes) { TellZoneOfChanges(changes); });
+  }
   peers_.OnGone([this](const vm_id& node) { OnPeerGone(node); });
   orders_.OnNotice([this](const load_notice& notice) { OnNotice(notice); });
   log_.Write(report::log_level::info, "started",
@@ -191,11 +205,11 @@
                                  std::move(reply))
       ->Start();
   if (queue_.TakeNewWant())
-    SendDigest();
+    SendWant();
 }
 
 bool gateway_node::IsReady() const {
-  return context_.site && endpoint_rows_.version() > revision(0) && !stopping_;
+  return context_.site && endpoint_rows_.has_copy() && !stopping_;
 }
 
 void gateway_node::AnswerProbe(const http::request& message,
@@ -288,6 +302,7 @@
   config::json_value::object fields;
   fields.push_back(
       {kAddressField, config::json_value(settings_.peer_address())});
+  fields.push_back({kZoneField, config::json_value(settings_.zone.value())});
   register_call_ = store_.Write(
       {kNodeTable, settings_.node.value(),
        config::WriteJson(config::json_value(std::move(fields))), std::nullopt},
@@ -315,8 +330,9 @@
   for (const table_row& row : answer.page.rows) {
     const auto parsed = config::ParseJson(row.value);
     if (parsed)
-      peers_.Add(vm_id(row.key), parsed.value().StringOr(kAddressField, ""),
-                 now);
+      peers_.Add(vm_id(row.key),
+                 zone_id(parsed.value().StringOr(kZoneField, "")),
+                 parsed.value().StringOr(kAddressField, ""), now);
     else
       log_.Write(report::log_level::warning, "registration_unreadable",
                  {{"node", row.key}, {"reason", parsed.error().message}});
@@ -324,16 +340,40 @@
   SendDigest();
 }
 
-void gateway_node::OnPeerMessage(const peer_message& message) {
+void gateway_node::OnPeerMessage(const peer_message& message,
+                                 bool from_other_zone) {
   const time_point now = boot_clock::now();
-  if (const auto* notice = std::get_if<load_notice>(&message)) {
-    endpoints_.OnNotice(*notice, now);
-    if (notice->change == load_change::loading)
-      queue_.SetReadyAt(notice->model, now + Milliseconds(notice->ready_in_ms));
-    queue_.WakeAll();
+  // What comes from another zone is passed on to this one.
+  if (from_other_zone && peers_.IsSpeaker(now))
+    peers_.SendToZone(message);
+  if (const auto* digest = std::get_if<peer_digest>(&message))
+    return OnDigest(*digest, from_other_zone);
+  if (const auto* changes = std::get_if<table_changes>(&message)) {
+    for (table_follower* table : {&site_rows_, &endpoint_rows_}) {
+      if (table->table() == changes->table && !table->Take(*changes))
+        relay_.Fetch(changes->facts_address, {}, *table);
+    }
     return;
   }
-  const auto& digest = std::get<peer_digest>(message);
+  const auto& notice = std::get<load_notice>(message);
+  endpoints_.OnNotice(notice, now);
+  if (notice.change == load_change::loading)
+    queue_.SetReadyAt(notice.model, now + Milliseconds(notice.ready_in_ms));
+  queue_.WakeAll();
+}
+
+void gateway_node::OnDigest(const peer_digest& digest, bool from_other_zone) {
+  const time_point now = boot_clock::now();
+  // A single node of another zone tells only the placement holder what it
+  // wants; its zone's speaker tells the rest.
+  if (from_other_zone && !digest.whole_zone) {
+    orders_.OnWants(digest, now);
+    return;
+  }
+  if (digest.whole_zone && digest.zone == settings_.zone)
+    return;
+  if (!digest.whole_zone)
+    summary_.OnDigest(digest, now);
   endpoints_.OnDigest(digest);
   limiter_.OnDigest(digest, now);
   suspects_.OnDigest(digest, now);
@@ -348,16 +388,29 @@
     orders_.Tick(now);
 }
 
+void gateway_node::TellZoneOfChanges(const table_changes& changes) {
+  table_changes message = changes;
+  message.facts_address = settings_.metrics_address();
+  std::size_t size = 0;
+  for (const changed_row& row : message.rows)
+    size += row.key.size() + row.value.size();
+  if (size > kMostDatagramRows)
+    message.rows.clear();
+  peers_.SendToZone(message);
+}
+
 void gateway_node::OnPeerGone(const vm_id& node) {
   endpoints_.ForgetPeer(node);
   limiter_.ForgetPeer(node);
   orders_.ForgetPeer(node);
+  summary_.Forget(node);
 }
 
 // What this node decides about placement concerns itself as well.
 void gateway_node::OnNotice(const load_notice& notice) {
-  peers_.SendToAll(notice);
   const time_point now = boot_clock::now();
+  peers_.SendToZone(notice);
+  peers_.SendToOtherZones(notice, now);
   endpoints_.OnNotice(notice, now);
   if (notice.change == load_change::loading)
     queue_.SetReadyAt(notice.model, now + Milliseconds(notice.ready_in_ms));
@@ -374,6 +427,7 @@
   digest.site_change = site_rows_.last_change().count();
   digest.endpoints_change = endpoint_rows_.last_change().count();
   if (orders_.holds(now)) {
+    digest.authority_holder = settings_.node;
     digest.authority_epoch = orders_.lease().fencing().count();
     digest.authority_version = orders_.lease().version().count();
   }
@@ -388,7 +442,32 @@
 void gateway_node::SendDigest() {
   const time_point now = boot_clock::now();
   const peer_digest digest = MakeDigest(now);
-  peers_.SendToAll(digest);
+  peers_.SendToZone(digest);
+  summary_.OnDigest(digest, now);
+  if (peers_.IsSpeaker(now)) {
+    peer_digest sum = summary_.Make(now);
+    sum.node = peer_group::NameOfZone(settings_.zone);
+    sum.zone = settings_.zone;
+    sum.nodes = peers_.zone_node_count();
+    sum.whole_zone = true;
+    sum.incarnation = digest.incarnation;
+    sum.sequence = digest.sequence;
+    sum.facts_address = digest.facts_address;
+    sum.site_change = digest.site_change;
+    sum.endpoints_change = digest.endpoints_change;
+    peers_.SendToOtherZones(sum, now);
+  }
+  orders_.OnDigest(digest, now);
+  if (orders_.holds(now))
+    orders_.Tick(now);
+}
+
+// Tells those who place models at once that a call waits for one.
+void gateway_node::SendWant() {
+  const time_point now = boot_clock::now();
+  const peer_digest digest = MakeDigest(now);
+  summary_.OnDigest(digest, now);
+  peers_.SendTo(orders_.lease().holder(), digest);
   orders_.OnDigest(digest, now);
   if (orders_.holds(now))
     orders_.Tick(now);
@@ -404,6 +483,11 @@
 void gateway_node::Tick() {
   const time_point now = boot_clock::now();
   peers_.Check(now);
+  // One node of each zone reads the list of endpoints for the others, and two
+  // read the configuration, which has to be in force soon.
+  const int64_t rank = peers_.RankInZone(now);
+  endpoint_rows_.SetPolling(rank < kEndpointReaders);
+  site_rows_.SetPolling(rank < kSiteReaders);
   const int64_t nodes = peers_.node_count();
   limiter_.SetNodeCount(nodes);
   retries_.SetNodes(nodes);
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -15,6 +15,7 @@
 #include "peer_group.h"
 #include "store_client.h"
 #include "table_follower.h"
+#include "zone_summary.h"
 
 namespace jasminepath::gateway {
 
@@ -48,11 +49,14 @@
   void ReadPeers();
   void OnPeersRead(const store_answer& answer);
 
-  void OnPeerMessage(const peer_message& message);
+  void OnPeerMessage(const peer_message& message, bool from_other_zone);
+  void OnDigest(const peer_digest& digest, bool from_other_zone);
   void OnPeerGone(const vm_id& node);
   void OnNotice(const load_notice& notice);
   peer_digest MakeDigest(time_point now);
   void SendDigest();
+  void SendWant();
+  void TellZoneOfChanges(const table_changes& changes);
   void ScheduleDigest();
 
   void Tick();
@@ -80,6 +84,7 @@
   table_follower endpoint_rows_;
   order_desk orders_;
   peer_group peers_;
+  zone_summary summary_;
   fact_relay relay_;
   http::server callers_;
   http::server probes_;
--- a/packages/gateway/src/order_desk.cc
+++ b/packages/gateway/src/order_desk.cc
@@ -86,12 +86,21 @@
 
 void order_desk::OnDigest(const peer_digest& digest, time_point now) {
   if (digest.authority_epoch > 0)
-    lease_.OnHolderDigest(digest.node, epoch(digest.authority_epoch),
+    lease_.OnHolderDigest(digest.authority_holder,
+                          epoch(digest.authority_epoch),
                           revision(digest.authority_version), now);
   for (auto& [service, planner] : planners_)
     planner.OnDigest(digest, now);
 }
 
+void order_desk::OnWants(const peer_digest& digest, time_point now) {
+  if (!lease_.Holds(now))
+    return;
+  for (auto& [service, planner] : planners_)
+    planner.OnWants(digest, now);
+  Tick(now);
+}
+
 void order_desk::ForgetPeer(const vm_id& node) {
   for (auto& [service, planner] : planners_)
     planner.ForgetNode(node);
--- a/packages/gateway/src/order_desk.h
+++ b/packages/gateway/src/order_desk.h
@@ -38,6 +38,8 @@
   void OnEndpoints(time_point now);
   // A digest of a peer or of this node itself.
   void OnDigest(const peer_digest& digest, time_point now);
+  // What the callers of a node of another zone wait for.
+  void OnWants(const peer_digest& digest, time_point now);
   void ForgetPeer(const vm_id& node);
 
   // Moves the lease on and gives orders; called often.
--- a/packages/gateway/src/peer_digest.cc
+++ b/packages/gateway/src/peer_digest.cc
@@ -11,8 +11,6 @@
 
 // Format of the messages; another one is not read.
 constexpr uint32_t kFormat = 1;
-constexpr uint32_t kDigestKind = 1;
-constexpr uint32_t kNoticeKind = 2;
 
 // Calls `visit` with each field, in the order in which they are sent.
 template <typename Message, typename Visitor>
@@ -38,10 +36,10 @@
 template <typename Message, typename Visitor>
 requires std::is_same_v<std::remove_const_t<Message>, peer_digest>
 void ForEachField(Message& m, Visitor&& visit) {
-  visit(m.node, m.zone, m.incarnation, m.sequence, m.facts_address,
-        m.site_change, m.endpoints_change, m.authority_epoch,
-        m.authority_version, m.teams, m.endpoints, m.models, m.crashes,
-        m.leaving);
+  visit(m.node, m.zone, m.nodes, m.whole_zone, m.incarnation, m.sequence,
+        m.facts_address, m.site_change, m.endpoints_change, m.authority_holder,
+        m.authority_epoch, m.authority_version, m.teams, m.endpoints, m.models,
+        m.crashes, m.leaving);
 }
 template <typename Message, typename Visitor>
 requires std::is_same_v<std::remove_const_t<Message>, load_notice>
@@ -50,6 +48,18 @@
         m.ready_in_ms);
 }
 
+template <typename Message, typename Visitor>
+requires std::is_same_v<std::remove_const_t<Message>, changed_row>
+void ForEachField(Message& m, Visitor&& visit) {
+  visit(m.key, m.value, m.version, m.removed);
+}
+template <typename Message, typename Visitor>
+requires std::is_same_v<std::remove_const_t<Message>, table_changes>
+void ForEachField(Message& m, Visitor&& visit) {
+  visit(m.table, m.facts_address, m.previous_change, m.last_change,
+        m.complete_to, m.rows);
+}
+
 using packer = msgpack::packer<msgpack::sbuffer>;
 
 template <typename T>
@@ -134,8 +144,7 @@
   packer out(buffer);
   out.pack_array(3);
   out.pack(kFormat);
-  out.pack(std::holds_alternative<peer_digest>(message) ? kDigestKind
-                                                        : kNoticeKind);
+  out.pack(static_cast<uint32_t>(message.index()));
   std::visit([&out](const auto& content) { Pack(out, content); }, message);
   return {buffer.data(), buffer.size()};
 }
@@ -148,11 +157,14 @@
         root.via.array.ptr[0].as<uint32_t>() != kFormat)
       return std::nullopt;
     const msgpack::object& content = root.via.array.ptr[2];
+    // The kinds are numbered as in peer_message.
     switch (root.via.array.ptr[1].as<uint32_t>()) {
-      case kDigestKind:
+      case 0:
         return UnpackMessage<peer_digest>(content);
-      case kNoticeKind:
+      case 1:
         return UnpackMessage<load_notice>(content);
+      case 2:
+        return UnpackMessage<table_changes>(content);
       default:
         return std::nullopt;
     }
--- a/packages/gateway/src/peer_group.cc
+++ b/packages/gateway/src/peer_group.cc
@@ -1,7 +1,10 @@
 #include "peer_group.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <vector>
 
+#include "jasminepath/base/digest.h"
 #include "jasminepath/http/server.h"
 
 namespace jasminepath::gateway {
@@ -9,21 +12,31 @@
 
 using boost::asio::ip::udp;
 
-// Silence after which a peer counts as cut off: several times the interval of
-// digests.
-constexpr duration kSilentAfter = Milliseconds(1500);
+// Silence after which a node counts as cut off and the next one speaks for its
+// zone: several times the interval of digests.
+constexpr duration kSilentAfter = Milliseconds(1100);
 // Silence after which it counts as gone for good: longer than the usual
 // partition.
 constexpr duration kGoneAfter = Seconds(20);
 // Time that a registered node has to be heard for the first time.
 constexpr duration kUnheardAfter = Seconds(5);
+// Nodes of a zone without a known speaker that are tried at a time.
+constexpr std::size_t kSpeakersTried = 3;
+
+uint64_t RankOf(const vm_id& node) {
+  return StableHash(node.value() + "/speaker");
+}
 
 }  // namespace
 
 peer_group::peer_group(http::event_loop& loop,
                        vm_id self,
+                       zone_id zone,
                        report::event_log& log)
-    : self_(std::move(self)), log_(log), socket_(loop) {}
+    : self_(std::move(self)),
+      zone_(std::move(zone)),
+      log_(log),
+      socket_(loop) {}
 
 result<void, std::string> peer_group::Open(const std::string& address) {
   const auto endpoint = http::ParseEndpoint(address);
@@ -62,31 +75,53 @@
     ++unreadable_;
     return;
   }
-  const auto* digest = std::get_if<peer_digest>(&*message);
-  if (digest != nullptr) {
+  bool from_other_zone = false;
+  if (const auto* digest = std::get_if<peer_digest>(&*message)) {
     if (digest->node == self_ || digest->node.empty())
       return;
-    peer_state& peer = peers_[digest->node];
+    const bool other = digest->zone != zone_;
+    const auto sender = std::find_if(
+        peers_.begin(), peers_.end(),
+        [this](const auto& item) { return item.second.address == sender_; });
+    from_other_zone =
+        other && (sender == peers_.end() || sender->second.zone != zone_);
     const time_point now = boot_clock::now();
-    if (peer.silent || peer.incarnation != digest->incarnation)
-      log_.Write(report::log_level::info, "peer_heard",
-                 {{"peer", digest->node.value()},
-                  {"restarted", static_cast<int64_t>(peer.incarnation !=
-                                                     digest->incarnation)}});
-    peer.silent = false;
-    peer.address = sender_;
-    peer.zone = digest->zone;
-    peer.facts_address = digest->facts_address;
-    peer.incarnation = digest->incarnation;
-    peer.site_change = digest->site_change;
-    peer.endpoints_change = digest->endpoints_change;
-    peer.heard_at = now;
+    if (!digest->whole_zone) {
+      NoteNode(*digest, now);
+    } else if (other) {
+      zone_speaker& speaker = speakers_[digest->zone];
+      if (from_other_zone)
+        speaker.address = sender_;
+      speaker.heard_at = now;
+      speaker.nodes = digest->nodes;
+    }
+  } else {
+    const auto sender = std::find_if(
+        peers_.begin(), peers_.end(),
+        [this](const auto& item) { return item.second.address == sender_; });
+    from_other_zone = sender != peers_.end() && sender->second.zone != zone_;
   }
   if (on_message_)
-    on_message_(*message);
+    on_message_(*message, from_other_zone);
+}
+
+void peer_group::NoteNode(const peer_digest& digest, time_point now) {
+  peer_state& peer = peers_[digest.node];
+  const bool restarted = peer.incarnation != digest.incarnation;
+  if (peer.silent || restarted)
+    log_.Write(report::log_level::info, "peer_heard",
+               {{"peer", digest.node.value()},
+                {"restarted", static_cast<int64_t>(restarted)}});
+  peer.silent = false;
+  peer.leaving = digest.leaving;
+  peer.address = sender_;
+  peer.zone = digest.zone;
+  peer.incarnation = digest.incarnation;
+  peer.heard_at = now;
 }
 
 void peer_group::Add(const vm_id& node,
+                     const zone_id& zone,
                      const std::string& address,
                      time_point now) {
   const auto endpoint = http::ParseEndpoint(address);
@@ -95,32 +130,75 @@
   peer_state peer;
   peer.address =
       udp::endpoint(endpoint.value().address(), endpoint.value().port());
+  peer.zone = zone;
   peer.known_at = now;
   peers_.emplace(node, peer);
 }
 
-void peer_group::SendToAll(const peer_message& message) {
+vm_id peer_group::NameOfZone(const zone_id& zone) {
+  return vm_id("zone/" + zone.value());
+}
+
+void peer_group::SendBytes(const std::string& bytes,
+                           const udp::endpoint& address) {
+  // A full queue drops the datagram; the next digest replaces it.
+  boost::system::error_code ignored;
+  socket_.send_to(boost::asio::buffer(bytes), address, 0, ignored);
+}
+
+void peer_group::SendToZone(const peer_message& message) {
   const std::string bytes = EncodePeerMessage(message);
   for (const auto& [node, peer] : peers_) {
-    // A full queue drops the datagram; the next digest replaces it.
-    boost::system::error_code ignored;
-    socket_.send_to(boost::asio::buffer(bytes), peer.address, 0, ignored);
+    if (peer.zone == zone_)
+      SendBytes(bytes, peer.address);
+  }
+}
+
+void peer_group::SendToOtherZones(const peer_message& message, time_point now) {
+  const std::string bytes = EncodePeerMessage(message);
+  std::map<zone_id, std::vector<std::pair<uint64_t, udp::endpoint>>> silent;
+  for (const auto& [node, peer] : peers_) {
+    if (peer.zone == zone_ || peer.zone.empty())
+      continue;
+    const auto speaker = speakers_.find(peer.zone);
+    if (speaker == speakers_.end() ||
+        now - speaker->second.heard_at > kSilentAfter)
+      silent[peer.zone].emplace_back(RankOf(node), peer.address);
+  }
+  for (const auto& [zone, speaker] : speakers_) {
+    if (now - speaker.heard_at <= kSilentAfter)
+      SendBytes(bytes, speaker.address);
+  }
+  for (auto& [zone, nodes] : silent) {
+    std::sort(nodes.begin(), nodes.end());
+    nodes.resize(std::min(nodes.size(), kSpeakersTried));
+    for (const auto& [rank, address] : nodes)
+      SendBytes(bytes, address);
   }
 }
 
 void peer_group::SendTo(const vm_id& node, const peer_message& message) {
   const auto found = peers_.find(node);
-  if (found == peers_.end())
-    return;
-  const std::string bytes = EncodePeerMessage(message);
-  boost::system::error_code ignored;
-  socket_.send_to(boost::asio::buffer(bytes), found->second.address, 0,
-                  ignored);
+  if (found != peers_.end())
+    SendBytes(EncodePeerMessage(message), found->second.address);
+}
+
+int64_t peer_group::RankInZone(time_point now) const {
+  const uint64_t own = RankOf(self_);
+  return std::count_if(peers_.begin(), peers_.end(), [&](const auto& item) {
+    const peer_state& peer = item.second;
+    return peer.zone == zone_ && !peer.leaving &&
+           peer.heard_at != time_point{} &&
+           now - peer.heard_at <= kSilentAfter && RankOf(item.first) < own;
+  });
 }
 
 void peer_group::Check(time_point now) {
   std::vector<vm_id> gone;
   for (auto& [node, peer] : peers_) {
+    // Nodes of other zones are known by their speakers only.
+    if (peer.zone != zone_)
+      continue;
     const bool never = peer.heard_at == time_point{};
     if (never) {
       if (now - peer.known_at > kUnheardAfter)
@@ -136,16 +214,39 @@
     if (now - peer.heard_at > kGoneAfter)
       gone.push_back(node);
   }
+  for (const vm_id& node : gone)
+    peers_.erase(node);
+  for (auto speaker = speakers_.begin(); speaker != speakers_.end();) {
+    if (now - speaker->second.heard_at <= kGoneAfter) {
+      ++speaker;
+      continue;
+    }
+    gone.push_back(NameOfZone(speaker->first));
+    speaker = speakers_.erase(speaker);
+  }
   for (const vm_id& node : gone) {
     log_.Write(report::log_level::info, "peer_gone", {{"peer", node.value()}});
-    peers_.erase(node);
     if (on_gone_)
       on_gone_(node);
   }
 }
 
+int64_t peer_group::zone_node_count() const {
+  return 1 + std::count_if(peers_.begin(), peers_.end(), [this](const auto& i) {
+           return i.second.zone == zone_;
+         });
+}
+
 int64_t peer_group::node_count() const {
-  return static_cast<int64_t>(peers_.size()) + 1;
+  int64_t count = zone_node_count();
+  for (const auto& [zone, speaker] : speakers_)
+    count += speaker.nodes;
+  // Zones that have not been heard yet count as they are registered.
+  for (const auto& [node, peer] : peers_) {
+    if (peer.zone != zone_ && !speakers_.contains(peer.zone))
+      ++count;
+  }
+  return count;
 }
 
 }  // namespace jasminepath::gateway
--- a/packages/gateway/src/peer_group.h
+++ b/packages/gateway/src/peer_group.h
@@ -20,59 +20,88 @@
 struct peer_state {
   boost::asio::ip::udp::endpoint address;
   zone_id zone;
-  std::string facts_address;
   uint64_t incarnation = 0;
-  int64_t site_change = 0;
-  int64_t endpoints_change = 0;
-  // When it was first and last heard; the epoch if never.
+  // When it was first known and last heard; the epoch if never.
   time_point known_at{};
   time_point heard_at{};
   bool silent = true;
+  bool leaving = false;
 };
 
-// The other nodes and the datagrams between them. Knows those that registered
-// and those that were heard. Runs on the loop.
+// The node that speaks for another zone.
+struct zone_speaker {
+  boost::asio::ip::udp::endpoint address;
+  time_point heard_at{};
+  // Nodes of that zone.
+  int64_t nodes = 1;
+};
+
+// The other nodes and the datagrams between them. Nodes of a zone tell each
+// other everything; of each zone one node, the speaker, exchanges with those of
+// other zones and passes on what it gets. Runs on the loop.
 class peer_group {
  public:
-  peer_group(http::event_loop& loop, vm_id self, report::event_log& log);
+  using receiver =
+      std::function<void(const peer_message& message, bool from_other_zone)>;
+
+  peer_group(http::event_loop& loop,
+             vm_id self,
+             zone_id zone,
+             report::event_log& log);
 
   // Binds to "IP:PORT". The error names the address and the reason.
   result<void, std::string> Open(const std::string& address);
 
-  // Digests and notices that come; digests of this node itself never do.
-  void OnMessage(std::function<void(const peer_message& message)> callback) {
-    on_message_ = std::move(callback);
-  }
-  // A peer was not heard for so long that it counts as gone.
+  void OnMessage(receiver callback) { on_message_ = std::move(callback); }
+  // A node, or the name of a zone, was not heard for so long that it counts as
+  // gone.
   void OnGone(std::function<void(const vm_id& node)> callback) {
     on_gone_ = std::move(callback);
   }
 
   // A node that has registered itself.
-  void Add(const vm_id& node, const std::string& address, time_point now);
+  void Add(const vm_id& node,
+           const zone_id& zone,
+           const std::string& address,
+           time_point now);
 
-  void SendToAll(const peer_message& message);
+  // The name under which a zone's speaker reports.
+  static vm_id NameOfZone(const zone_id& zone);
+
+  void SendToZone(const peer_message& message);
+  void SendToOtherZones(const peer_message& message, time_point now);
   void SendTo(const vm_id& node, const peer_message& message);
 
-  // Looks for peers that fell silent or are gone.
+  // How many live nodes of the zone come before this one; the first speaks.
+  int64_t RankInZone(time_point now) const;
+  bool IsSpeaker(time_point now) const { return RankInZone(now) == 0; }
+
+  // Looks for nodes and zones that fell silent or are gone.
   void Check(time_point now);
 
   // Nodes that share the load, this one included.
   int64_t node_count() const;
+  // Nodes of this zone, this one included.
+  int64_t zone_node_count() const;
   const std::map<vm_id, peer_state>& peers() const { return peers_; }
   int64_t unreadable() const { return unreadable_; }
 
  private:
   void Receive();
   void OnDatagram(std::size_t length);
+  void NoteNode(const peer_digest& digest, time_point now);
+  void SendBytes(const std::string& bytes,
+                 const boost::asio::ip::udp::endpoint& address);
 
   vm_id self_;
+  zone_id zone_;
   report::event_log& log_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
   std::array<char, 65536> buffer_;
   std::map<vm_id, peer_state> peers_;
-  std::function<void(const peer_message&)> on_message_;
+  std::map<zone_id, zone_speaker> speakers_;
+  receiver on_message_;
   std::function<void(const vm_id&)> on_gone_;
   int64_t unreadable_ = 0;
 };
--- a/packages/gateway/src/placement_planner.cc
+++ b/packages/gateway/src/placement_planner.cc
@@ -17,6 +17,8 @@
 constexpr double kRateSeconds = 10.0;
 // A node that has not reported for this long no longer counts.
 constexpr duration kNodeSilence = Seconds(3);
+// What a node urgently wants is in its digests from then on.
+constexpr duration kUrgentHolds = Milliseconds(500);
 // Requests running at a replica beyond which another replica helps.
 constexpr int64_t kRunningPerReplica = 12;
 // Requests a second that call for a second replica, against the loss of one.
@@ -330,7 +332,11 @@
 
 void placement_planner::OnDigest(const peer_digest& digest, time_point now) {
   node_report& report = nodes_[digest.node];
+  // A zone's new speaker has counts of its own.
+  const bool new_speaker =
+      digest.whole_zone && report.incarnation != digest.incarnation;
   report.heard_at = now;
+  report.incarnation = digest.incarnation;
   report.running.clear();
   for (const endpoint_use& use : digest.endpoints)
     report.running[{use.endpoint, use.model}] = use.running;
@@ -342,8 +348,10 @@
     const int64_t before =
         known == report.uses.end() ? 0 : known->second.arrivals;
     // A smaller count is that of a new process.
-    const int64_t fresh =
+    int64_t fresh =
         use.arrivals >= before ? use.arrivals - before : use.arrivals;
+    if (new_speaker)
+      fresh = std::min<int64_t>(fresh, 1);
     report.uses[key] = use;
     if (fresh == 0)
       continue;
@@ -362,6 +370,13 @@
   }
 }
 
+void placement_planner::OnWants(const peer_digest& digest, time_point now) {
+  for (const model_use& use : digest.models) {
+    if (use.waiting > 0)
+      urgent_[{use.model, use.adapter}] = {use.waiting, now};
+  }
+}
+
 void placement_planner::ForgetNode(const vm_id& node) {
   nodes_.erase(node);
 }
@@ -379,6 +394,17 @@
         adapters_waiting_[key] += use.waiting;
     }
   }
+  std::erase_if(urgent_, [&](const auto& item) {
+    return now - item.second.heard_at > kUrgentHolds;
+  });
+  for (const auto& [key, want] : urgent_) {
+    int64_t& waiting = models_[key.first].waiting;
+    waiting = std::max(waiting, want.waiting);
+    if (!key.second.empty()) {
+      int64_t& for_adapter = adapters_waiting_[key];
+      for_adapter = std::max(for_adapter, want.waiting);
+    }
+  }
   for (const auto& [id, engine] : engines_) {
     for (const model_id& model : engine.residents)
       models_[model].running += RunningOn(engine, model);
--- a/packages/gateway/src/table_follower.cc
+++ b/packages/gateway/src/table_follower.cc
@@ -5,9 +5,12 @@
 namespace jasminepath::gateway {
 namespace {
 
-// How long the store holds a poll without changes. Peers tell of changes that
-// a silent connection hides, so it may be long.
-constexpr duration kPollWait = Seconds(15);
+// How long the store holds a poll without changes: bounds the time for which a
+// silent connection hides changes that no peer knows either.
+constexpr duration kPollWait = Seconds(4);
+// Pause between two polls, so that changes in quick succession come in one
+// answer.
+constexpr duration kPollSpacing = Milliseconds(120);
 // First pause after a failed call; doubles up to the longest.
 constexpr duration kFirstRetry = Milliseconds(100);
 constexpr duration kLongestRetry = Milliseconds(800);
@@ -53,7 +56,8 @@
   }
   // A read over several pages is as of its first page at the earliest; changes
   // since then come with the polls.
-  if (answer.page.version >= version_) {
+  if (!has_copy_ || answer.page.version >= version_) {
+    has_copy_ = true;
     rows_ = std::move(incoming_);
     version_ = answer.page.version;
     for (const auto& [key, row] : rows_)
@@ -65,7 +69,22 @@
   Poll();
 }
 
+void table_follower::SetPolling(bool polls) {
+  if (polls == polls_)
+    return;
+  polls_ = polls;
+  if (!has_copy_)
+    return;
+  if (polls_)
+    return Poll();
+  timer_.Cancel();
+  call_.reset();
+  polling_ = false;
+}
+
 void table_follower::Poll() {
+  if (!polls_)
+    return;
   polling_ = true;
   call_ = store_.Poll(table_, version_, kPollWait,
                       [this](const store_answer& a) { OnPolled(a); });
@@ -77,22 +96,53 @@
   if (answer.status != store_status::done)
     return Retry();
   failures_ = 0;
-  bool changed = false;
+  table_changes changes;
+  changes.table = table_;
+  changes.previous_change = last_change_.count();
   for (const table_row& row : answer.page.rows) {
-    const auto known = rows_.find(row.key);
-    if (known != rows_.end() && known->second.version >= row.version)
-      continue;
-    changed = true;
-    last_change_ = std::max(last_change_, row.version);
-    if (row.removed)
-      rows_.erase(row.key);
-    else
-      rows_[row.key] = row;
+    if (Apply(row))
+      changes.rows.push_back(
+          {row.key, row.value, row.version.count(), row.removed});
   }
   version_ = std::max(version_, answer.page.version);
+  if (!changes.rows.empty()) {
+    changes.last_change = last_change_.count();
+    changes.complete_to = version_.count();
+    if (on_changes_)
+      on_changes_(changes);
+    on_change_();
+  }
+  timer_.Start(kPollSpacing, [this] { Poll(); });
+}
+
+bool table_follower::Apply(const table_row& row) {
+  const auto known = rows_.find(row.key);
+  if (row.version <= last_change_ && known == rows_.end())
+    return false;
+  if (known != rows_.end() && known->second.version >= row.version)
+    return false;
+  last_change_ = std::max(last_change_, row.version);
+  behind_since_.reset();
+  if (row.removed)
+    rows_.erase(row.key);
+  else
+    rows_[row.key] = row;
+  return true;
+}
+
+bool table_follower::Take(const table_changes& changes) {
+  if (revision(changes.last_change) <= last_change_)
+    return true;
+  if (!has_copy_ || changes.rows.empty() ||
+      revision(changes.previous_change) > last_change_)
+    return false;
+  bool changed = false;
+  for (const changed_row& row : changes.rows)
+    changed |= Apply({row.key, row.value, revision(row.version), row.removed});
+  version_ = std::max(version_, revision(changes.complete_to));
   if (changed)
     on_change_();
-  Poll();
+  return true;
 }
 
 void table_follower::Retry() {
@@ -102,7 +152,7 @@
   std::uniform_int_distribution<int64_t> pause(longest.count() / 2,
                                                longest.count());
   timer_.Start(duration(pause(random_)), [this] {
-    if (polling_)
+    if (has_copy_)
       Poll();
     else
       Start();
@@ -112,22 +162,22 @@
 void table_follower::Adopt(const std::vector<table_row>& rows,
                            revision version,
                            revision last_change) {
-  if (version <= version_ || last_change <= last_change_)
+  if (has_copy_ && (version <= version_ || last_change <= last_change_))
     return;
+  has_copy_ = true;
   rows_.clear();
   for (const table_row& row : rows)
     rows_[row.key] = row;
   version_ = version;
   last_change_ = last_change;
+  behind_since_.reset();
   on_change_();
 }
 
 bool table_follower::IsBehind(revision last_change, time_point now) {
-  if (last_change <= last_change_) {
-    behind_since_.reset();
+  if (last_change <= last_change_)
     return false;
-  }
-  if (version_ == revision(0) || failures_ > 0)
+  if (!has_copy_ || (polls_ && failures_ > 0))
     return true;
   if (!behind_since_)
     behind_since_ = now;
--- a/packages/gateway/src/table_follower.h
+++ b/packages/gateway/src/table_follower.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "jasminepath/base/random.h"
+#include "jasminepath/gateway/peer_digest.h"
 #include "store_client.h"
 
 namespace jasminepath::gateway {
@@ -28,9 +29,22 @@
 
   void Start();
 
+  // Whether this node asks the store for changes, or leaves that to a peer that
+  // passes them on.
+  void SetPolling(bool polls);
+  // Changes that this node has read from the store.
+  void OnChanges(std::function<void(const table_changes& changes)> callback) {
+    on_changes_ = std::move(callback);
+  }
+  // Changes that a peer has read. False if this copy lacks what was before them
+  // and has to be fetched.
+  bool Take(const table_changes& changes);
+
   // The rows that exist.
   const std::map<std::string, table_row>& rows() const { return rows_; }
-  // Version as of which the copy is complete; 0 before the first read.
+  // Whether there is a copy yet.
+  bool has_copy() const { return has_copy_; }
+  // Version as of which the copy is complete.
   revision version() const { return version_; }
   // Version of the last change that the copy shows. Unlike version(), it is
   // the same on all nodes that know the same rows.
@@ -52,6 +66,7 @@
   void Poll();
   void OnRead(const store_answer& answer);
   void OnPolled(const store_answer& answer);
+  bool Apply(const table_row& row);
   void Retry();
 
   http::event_loop& loop_;
@@ -64,8 +79,12 @@
   std::map<std::string, table_row> rows_;
   std::map<std::string, table_row> incoming_;
   std::string from_key_;
+  bool has_copy_ = false;
   revision version_;
   revision last_change_;
+  std::function<void(const table_changes&)> on_changes_;
+  // Whether it is this node's part to poll, and whether a poll is pending.
+  bool polls_ = true;
   bool polling_ = false;
   // Since when a peer has been known to be ahead.
   std::optional<time_point> behind_since_;
