--- a/packages/gateway/include/jasminepath/gateway/placement_planner.h
+++ b/packages/gateway/include/jasminepath/gateway/placement_planner.h
@@ -141,6 +141,7 @@
                   const std::vector<model_id>& on_disk,
                   bool is_report,
                   time_point now);
+  void NoteStoreLoad(const pending_order& order, time_point now);
   void CountDemand(time_point now);
   // The least valuable resident of the engine, and what it is worth.
   std::optional<std::pair<model_id, double>> Victim(const engine_state& engine,
@@ -183,6 +184,8 @@
   std::map<vm_id, node_report> nodes_;
   std::map<model_key, urgent_want> urgent_;
   std::vector<load_notice> notices_;
+  // Loads from the weight store that it seems to serve at full speed at once.
+  int64_t store_parallel_;
   // Loads from the weight store that may begin now.
   double store_tokens_ = 0;
   time_point store_filled_at_{};
--- a/packages/gateway/src/fleet_rate_limiter.cc
+++ b/packages/gateway/src/fleet_rate_limiter.cc
@@ -11,6 +11,11 @@
 // Debt is bounded to this many seconds of the rate, so that a burst seen late
 // does not shut a team out for long.
 constexpr double kMostDebtSeconds = 2.0;
+// Share of the burst that has to be there for the largest requests, that is
+// kept for small ones, and up to which a request counts as small.
+constexpr double kMostNeededShare = 0.5;
+constexpr double kReservedShare = 0.15;
+constexpr double kSmallShare = 0.02;
 // Longest time that a team is asked to wait.
 constexpr double kMostWaitSeconds = 5.0;
 
@@ -109,9 +114,12 @@
     return true;
   Fill(now);
   bucket& value = found->second;
-  // A request larger than the burst passes once the bucket is full.
-  const double needed =
-      std::min(static_cast<double>(tokens), value.burst * 0.5);
+  const auto size = static_cast<double>(tokens);
+  // A request larger than the burst passes once the bucket is half full.
+  double needed = std::min(size, value.burst * kMostNeededShare);
+  // A prompt leaves room for the many small requests that it would shut out.
+  if (size > value.burst * kSmallShare)
+    needed = std::max(needed, value.burst * kReservedShare);
   if (value.level < needed)
     return false;
   value.level -= static_cast<double>(tokens);
@@ -135,7 +143,7 @@
   if (found == buckets_.end() || found->second.rate <= 0)
     return duration::zero();
   const bucket& value = found->second;
-  const double missing = value.burst * 0.5 - value.level -
+  const double missing = value.burst * kMostNeededShare - value.level -
                          ToSeconds(now - value.filled_at) * value.rate;
   const double seconds =
       std::clamp(missing / value.rate, 0.1, kMostWaitSeconds);
--- a/packages/gateway/src/placement_planner.cc
+++ b/packages/gateway/src/placement_planner.cc
@@ -10,8 +10,13 @@
 // Loads from the weight store that may begin at once beyond the rate; the
 // site's rule allows three.
 constexpr double kStoreBurst = 2.0;
-// Loads from the weight store that run at full speed (site's sheet).
-constexpr int64_t kStoreLoadsAtOnce = 4;
+// Loads from the weight store that are taken to run at full speed at once,
+// before any have been timed, and the least.
+constexpr int64_t kMostStoreLoads = 4;
+constexpr int64_t kLeastStoreLoads = 2;
+// A load that takes longer than this multiple of its time shows that too many
+// run at once.
+constexpr double kSlowLoadFactor = 1.3;
 // Demand is averaged over this time: long enough for rare models, short enough
 // to follow a shift of demand.
 constexpr double kRateSeconds = 10.0;
@@ -51,7 +56,7 @@
 }  // namespace
 
 placement_planner::placement_planner(service_id service)
-    : service_(std::move(service)) {}
+    : service_(std::move(service)), store_parallel_(kMostStoreLoads) {}
 
 const model_spec* placement_planner::Spec(const model_id& model) const {
   return spec_.FindModel(model);
@@ -199,7 +204,7 @@
 }
 
 bool placement_planner::StoreHasRoom() const {
-  return store_tokens_ >= 1.0 && StoreLoads() < kStoreLoadsAtOnce;
+  return store_tokens_ >= 1.0 && StoreLoads() < store_parallel_;
 }
 
 void placement_planner::Begin(time_point now) {
@@ -326,8 +331,22 @@
     engine.copies.insert(in_memory.begin(), in_memory.end());
     engine.hot_copies = std::set<model_id>(in_memory.begin(), in_memory.end());
   }
-  if (settles && has(ordered) == load)
+  if (settles && has(ordered) == load) {
+    if (engine.pending->from_store)
+      NoteStoreLoad(*engine.pending, now);
     engine.pending.reset();
+  }
+}
+
+void placement_planner::NoteStoreLoad(const pending_order& order,
+                                      time_point now) {
+  const model_spec* spec = Spec(order.order.model);
+  if (spec == nullptr)
+    return;
+  const double slowness =
+      ToSeconds(now - order.sent_at) / ToSeconds(spec->store_load);
+  if (slowness > kSlowLoadFactor)
+    store_parallel_ = std::max(store_parallel_ - 1, kLeastStoreLoads);
 }
 
 void placement_planner::OnDigest(const peer_digest& digest, time_point now) {
@@ -538,7 +557,7 @@
         return Usable(item.second) && !FromStore(item.second, model);
       });
   // A copy has to wait for its engine; without one, for its turn at the store.
-  const int64_t rounds = (StoreLoads() + queued) / kStoreLoadsAtOnce + 1;
+  const int64_t rounds = (StoreLoads() + queued) / store_parallel_ + 1;
   const duration time = copied ? spec->disk_load : spec->store_load * rounds;
   load_notice notice;
   notice.model = model;
