--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -18,7 +18,7 @@
 constexpr duration kAvoidTime = Milliseconds(250);
 // How long a request waits for a load after the time at which it should be
 // complete, or that nobody has announced.
-constexpr duration kLoadPatience = Seconds(2);
+constexpr duration kLoadPatience = Seconds(6);
 // Connections that are idle for longer are not used for requests that may run
 // once only, since the peer may be closing them.
 constexpr duration kReuseForOnce = Milliseconds(1000);
