Place another replica from 6 running requests on

Cause: prefill of 9,000 tokens takes 0.2 s, so that a few requests at one replica delay each other's first token.

--- a/packages/gateway/include/jasminepath/gateway/gateway_settings.h
+++ b/packages/gateway/include/jasminepath/gateway/gateway_settings.h
@@ -41,6 +41,9 @@
   uint16_t first_free_port = 0;
   uint16_t last_free_port = 0;
   int64_t memory_mb = 0;
+  // From the order to stop until no new connection is taken: the balancer asks
+  // every second and needs two answers in a row to see that the node stops.
+  duration lame_duck = Milliseconds(2600);
   fleet_bounds bounds;
 
   std::string peer_address() const {
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -37,8 +37,6 @@
 constexpr duration kReturnGrace = Milliseconds(1800);
 // How long after a failed call the store counts as not yet steady.
 constexpr duration kStoreUnsteady = Seconds(4);
-// Time that the balancer needs to see that this node stops.
-constexpr duration kLameDuck = Milliseconds(2600);
 // Kept back at the end of the grace period for the exit itself.
 constexpr duration kExitMargin = Milliseconds(700);
 constexpr duration kStopCheck = Milliseconds(100);
@@ -521,10 +519,10 @@
 // or until the grace period is nearly over.
 void gateway_node::ContinueStop() {
   const duration age = boot_clock::now() - stop_began_;
-  if (age > kLameDuck)
+  if (age >= settings_.lame_duck)
     callers_.StopAccepting();
   const bool over = age > settings_.bounds.grace - kExitMargin;
-  const bool done = age > kLameDuck && callers_.busy_count() == 0 &&
+  const bool done = age >= settings_.lame_duck && callers_.busy_count() == 0 &&
                     callers_.connection_count() == 0;
   if (over || done) {
     loop_.stop();
--- a/packages/gateway/src/placement_planner.cc
+++ b/packages/gateway/src/placement_planner.cc
@@ -25,7 +25,7 @@
 // What a node urgently wants is in its digests from then on.
 constexpr duration kUrgentHolds = Milliseconds(500);
 // Requests running at a replica beyond which another replica helps.
-constexpr int64_t kRunningPerReplica = 12;
+constexpr int64_t kRunningPerReplica = 6;
 // Requests a second that call for a second replica, against the loss of one.
 constexpr double kRateForSecondReplica = 0.7;
 // Time that an adapter takes to load while few are under way (site's sheet),
