--- a/packages/gateway/src/endpoint_pool.cc
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -8,13 +8,14 @@
 namespace jasminepath::gateway {
 namespace {
 
-// A notice that a model is dropped holds for this long, unless the list of
-// endpoints confirms it.
-constexpr duration kClosingHolds = Seconds(3);
-// A notice that an adapter is ready holds for this long without the list
-// confirming it: the interval at which engines update their entries, with a
-// margin.
-constexpr duration kAnnouncementHolds = Seconds(3);
+// Notices of models hold for this long without the list of endpoints confirming
+// them: longer than the store is usually away.
+constexpr duration kModelNoticeHolds = Seconds(15);
+// The same for adapters: the interval at which engines update their entries,
+// with a margin.
+constexpr duration kAdapterNoticeHolds = Seconds(3);
+// How long a model is not asked for where it was found missing.
+constexpr duration kNotHeldTime = Milliseconds(1500);
 // What a request in another zone, and one away from its engine with the shared
 // prompt parts, costs in running requests.
 constexpr double kOtherZoneCost = 3.0;
@@ -134,28 +135,28 @@
                           time_point now) const {
   if (query.model.empty())
     return true;
-  const auto is_closing = [&](const adapter_id& adapter) {
-    const auto found = endpoint.closing.find({query.model, adapter});
-    return found != endpoint.closing.end() &&
-           now - found->second < kClosingHolds;
+  const auto noticed = [&](const auto& notices, const adapter_id& adapter) {
+    const auto found = notices.find({query.model, adapter});
+    const duration holds =
+        adapter.empty() ? kModelNoticeHolds : kAdapterNoticeHolds;
+    return found != notices.end() && now - found->second < holds;
   };
-  if (is_closing({}))
+  if (noticed(endpoint.closing, {}))
     return false;
   const auto& models = endpoint.entry.models;
   const auto resident = std::find_if(
       models.begin(), models.end(),
       [&](const resident_model& m) { return m.model == query.model; });
-  if (resident == models.end())
+  if (resident == models.end() && !noticed(endpoint.announced, {}))
     return false;
   if (query.adapter.empty())
     return true;
-  if (is_closing(query.adapter))
+  if (noticed(endpoint.closing, query.adapter))
     return false;
-  const auto announced = endpoint.announced.find({query.model, query.adapter});
-  if (announced != endpoint.announced.end() &&
-      now - announced->second < kAnnouncementHolds)
+  if (noticed(endpoint.announced, query.adapter))
     return true;
-  return std::find(resident->adapters.begin(), resident->adapters.end(),
+  return resident != models.end() &&
+         std::find(resident->adapters.begin(), resident->adapters.end(),
                    query.adapter) != resident->adapters.end();
 }
 
@@ -251,9 +252,11 @@
                               const model_id& model,
                               const adapter_id& adapter,
                               time_point now) {
+  // For a short time only: it may be about to be loaded.
+  const duration holds =
+      adapter.empty() ? kModelNoticeHolds : kAdapterNoticeHolds;
   endpoint.announced.erase({model, adapter});
-  // Long enough for the next update of the entry to come.
-  endpoint.closing[{model, adapter}] = now;
+  endpoint.closing[{model, adapter}] = now - holds + kNotHeldTime;
 }
 
 std::shared_ptr<pooled_endpoint> endpoint_pool::Find(
--- a/packages/gateway/src/endpoint_pool.h
+++ b/packages/gateway/src/endpoint_pool.h
@@ -49,7 +49,7 @@
   time_point heard_at{};
   // Models and adapters about to be dropped, until the entry shows it.
   std::map<std::pair<model_id, adapter_id>, time_point> closing;
-  // Adapters said to be ready ahead of the entry, and when.
+  // Models and adapters said to be ready ahead of the entry, and when.
   std::map<std::pair<model_id, adapter_id>, time_point> announced;
   // Set while the entry is missing from the list: when it counts as gone.
   std::optional<time_point> dropped_at;
--- a/packages/gateway/src/placement_planner.cc
+++ b/packages/gateway/src/placement_planner.cc
@@ -334,6 +334,8 @@
   if (settles && has(ordered) == load) {
     if (engine.pending->from_store)
       NoteStoreLoad(*engine.pending, now);
+    if (load)
+      Announce(engine, ordered, {}, load_change::ready, {});
     engine.pending.reset();
   }
 }
@@ -735,6 +737,9 @@
     case order_verdict::fenced:
       if (verdict == order_verdict::conflict)
         engine.order_count.reset();
+      // What was said to be dropped stays.
+      if (order.kind == order_kind::unload && Resident(engine, order.model))
+        Announce(engine, order.model, order.adapter, load_change::ready, {});
       engine.pending.reset();
       engine.intent.reset();
       engine.distrusted_until = now + kAskInterval;
