--- a/packages/gateway/src/placement_planner.cc
+++ b/packages/gateway/src/placement_planner.cc
@@ -43,8 +43,9 @@
 // Worth of a waiting request in units of requests a second, so that it
 // displaces all but busy models.
 constexpr double kWaitingWorth = 5.0;
-// Worth of a running request of a model that would be dropped.
-constexpr double kRunningWorth = 0.15;
+// What it costs to drop a model with running requests: the usual time until
+// they have ended, in seconds.
+constexpr double kRunningWorth = 1.2;
 // Loads from the weight store ahead of any demand.
 constexpr int64_t kCopyLoadsAtOnce = 2;
 // The nodes are told at this interval how long a load will take that cannot
@@ -178,8 +179,8 @@
       value += kWaitingWorth;
   }
   // An unload waits for what runs.
-  value += kRunningWorth *
-           static_cast<double>(std::min<int64_t>(RunningOn(engine, model), 10));
+  if (RunningOn(engine, model) > 0)
+    value += kRunningWorth;
   if (!engine.copies.contains(model))
     value += 0.2;
   return value;
