Report unreachable engines and place their models elsewhere

Nodes now leave an endpoint alone that takes no connection, and two reports make the holder of placement load its models elsewhere.

--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -79,6 +79,9 @@
   std::vector<team_use> teams;
   std::vector<endpoint_use> endpoints;
   std::vector<model_use> models;
+  // Endpoints that take no connection from it; for a zone, from two nodes or
+  // more of it.
+  std::vector<endpoint_id> unreachable;
   std::vector<crash_count> crashes;
   // The process is about to end.
   bool leaving = false;
--- a/packages/gateway/include/jasminepath/gateway/placement_planner.h
+++ b/packages/gateway/include/jasminepath/gateway/placement_planner.h
@@ -92,6 +92,7 @@
     time_point intent_until{};
     time_point asked_at{};
     time_point distrusted_until{};
+    bool unreachable = false;
     bool present = true;
   };
 
@@ -112,6 +113,9 @@
   struct node_report {
     std::map<model_key, model_use> uses;
     std::map<std::pair<endpoint_id, model_id>, int64_t> running;
+    std::vector<endpoint_id> unreachable;
+    // Speaks for several nodes.
+    bool whole_zone = false;
     time_point heard_at{};
     uint64_t incarnation = 0;
   };
--- a/packages/gateway/src/endpoint_pool.cc
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -14,6 +14,8 @@
 // The same for adapters: the interval at which engines update their entries,
 // with a margin.
 constexpr duration kAdapterNoticeHolds = Seconds(3);
+// How long an endpoint that took no connection is left alone.
+constexpr duration kUnreachableTime = Milliseconds(1000);
 // How long a model is not asked for where it was found missing.
 constexpr duration kNotHeldTime = Milliseconds(1500);
 // What a request in another zone, and one away from its engine with the shared
@@ -179,6 +181,8 @@
     if (endpoint->entry.service != query.service || endpoint->entry.draining)
       continue;
     any = true;
+    if (now < endpoint->unreachable_until)
+      continue;
     if (Holds(*endpoint, query, now))
       able.push_back(endpoint);
   }
@@ -245,6 +249,10 @@
                         time_point now) {
   --endpoint.running;
   --endpoint.running_by_model[model];
+  if (end == decision::attempt_end::connect_failed)
+    endpoint.unreachable_until = now + kUnreachableTime;
+  else if (end == decision::attempt_end::answered)
+    endpoint.unreachable_until = time_point{};
   endpoint.health.OnEnd(end, endpoint.running, now, limits_);
 }
 
@@ -285,6 +293,15 @@
   return uses;
 }
 
+std::vector<endpoint_id> endpoint_pool::Unreachable(time_point now) const {
+  std::vector<endpoint_id> ids;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (now < endpoint->unreachable_until)
+      ids.push_back(id);
+  }
+  return ids;
+}
+
 std::size_t endpoint_pool::opened_connections() const {
   std::size_t opened = opened_before_;
   for (const auto& [id, endpoint] : endpoints_)
--- a/packages/gateway/src/endpoint_pool.h
+++ b/packages/gateway/src/endpoint_pool.h
@@ -45,6 +45,8 @@
   std::map<vm_id, int64_t> running_of_peers;
   // Those of this node by model.
   std::map<model_id, int64_t> running_by_model;
+  // It took no connection; asked again from then on.
+  time_point unreachable_until{};
   // When anything was last received from it.
   time_point heard_at{};
   // Models and adapters about to be dropped, until the entry shows it.
@@ -105,6 +107,8 @@
   std::vector<endpoint_entry> Entries() const;
   // This node's requests at each endpoint, by model.
   std::vector<endpoint_use> Running() const;
+  // Endpoints that take no connection now.
+  std::vector<endpoint_id> Unreachable(time_point now) const;
   std::size_t opened_connections() const;
 
  private:
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -432,6 +432,7 @@
   digest.teams = limiter_.Used();
   digest.endpoints = endpoints_.Running();
   digest.models = queue_.Demand(now);
+  digest.unreachable = endpoints_.Unreachable(now);
   digest.crashes = suspects_.Counts(now);
   digest.leaving = stopping_;
   return digest;
--- a/packages/gateway/src/placement_planner.cc
+++ b/packages/gateway/src/placement_planner.cc
@@ -22,6 +22,9 @@
 constexpr double kRateSeconds = 10.0;
 // A node that has not reported for this long no longer counts.
 constexpr duration kNodeSilence = Seconds(3);
+// Nodes that have to find an engine unreachable, so that one that is cut off
+// does not speak for all.
+constexpr int64_t kReportersNeeded = 2;
 // What a node urgently wants is in its digests from then on.
 constexpr duration kUrgentHolds = Milliseconds(500);
 // Requests running at a replica beyond which another replica helps.
@@ -64,7 +67,7 @@
 }
 
 bool placement_planner::Usable(const engine_state& engine) const {
-  if (!engine.present || engine.entry.draining)
+  if (!engine.present || engine.entry.draining || engine.unreachable)
     return false;
   return !engine.entry.leaves_in || *engine.entry.leaves_in > kLeavingSoon;
 }
@@ -359,6 +362,8 @@
       digest.whole_zone && report.incarnation != digest.incarnation;
   report.heard_at = now;
   report.incarnation = digest.incarnation;
+  report.unreachable = digest.unreachable;
+  report.whole_zone = digest.whole_zone;
   report.running.clear();
   for (const endpoint_use& use : digest.endpoints)
     report.running[{use.endpoint, use.model}] = use.running;
@@ -407,6 +412,15 @@
   for (auto& [id, model] : models_)
     model.waiting = model.running = 0;
   adapters_waiting_.clear();
+  std::map<endpoint_id, int64_t> unreachable;
+  for (const auto& [node, report] : nodes_) {
+    if (now - report.heard_at > kNodeSilence)
+      continue;
+    for (const endpoint_id& engine : report.unreachable)
+      unreachable[engine] += report.whole_zone ? kReportersNeeded : 1;
+  }
+  for (auto& [id, engine] : engines_)
+    engine.unreachable = unreachable[id] >= kReportersNeeded;
   for (const auto& [node, report] : nodes_) {
     if (now - report.heard_at > kNodeSilence)
       continue;
--- a/packages/gateway/src/zone_summary.cc
+++ b/packages/gateway/src/zone_summary.cc
@@ -8,6 +8,10 @@
 // Silence after which a node's running and waiting requests no longer count.
 constexpr duration kNodeSilence = Seconds(3);
 
+// Nodes that have to find an endpoint unreachable, so that one that is cut off
+// does not speak for all.
+constexpr int64_t kReportersNeeded = 2;
+
 // What a rising count has gained; a smaller one is that of a new process.
 int64_t Gain(int64_t before, int64_t now, bool restarted) {
   return restarted || now < before ? now : now - before;
@@ -51,6 +55,7 @@
   std::map<std::pair<endpoint_id, model_id>, int64_t> running;
   std::map<std::pair<model_id, adapter_id>, int64_t> waiting;
   std::map<uint64_t, int64_t> crashes;
+  std::map<endpoint_id, int64_t> unreachable;
   for (const auto& [node, state] : nodes_) {
     if (now - state.heard_at > kNodeSilence)
       continue;
@@ -58,6 +63,8 @@
       running[{use.endpoint, use.model}] += use.running;
     for (const model_use& use : state.last.models)
       waiting[{use.model, use.adapter}] += use.waiting;
+    for (const endpoint_id& endpoint : state.last.unreachable)
+      ++unreachable[endpoint];
     for (const crash_count& count : state.last.crashes)
       crashes[count.fingerprint] += count.crashes;
     if (state.last.authority_epoch > sum.authority_epoch) {
@@ -72,6 +79,10 @@
     sum.endpoints.push_back({key.first, key.second, count});
   for (const auto& [key, count] : waiting)
     sum.models.push_back({key.first, key.second, count, arrivals_.at(key)});
+  for (const auto& [endpoint, count] : unreachable) {
+    if (count >= kReportersNeeded)
+      sum.unreachable.push_back(endpoint);
+  }
   for (const auto& [fingerprint, count] : crashes)
     sum.crashes.push_back({fingerprint, count});
   return sum;
--- a/packages/gateway/tests/engine_world.h
+++ b/packages/gateway/tests/engine_world.h
@@ -220,6 +220,16 @@
     planner.OnDigest(digest, At(now_ms));
   }
 
+  // Two nodes find the engine unreachable.
+  void ReportUnreachable(const endpoint_id& engine) {
+    for (const char* node : {"node", "other"}) {
+      peer_digest digest;
+      digest.node = vm_id(node);
+      digest.unreachable = {engine};
+      planner.OnDigest(digest, At(now_ms));
+    }
+  }
+
   // 10 ms pass.
   void Step() {
     now_ms += 10;
--- a/packages/gateway/tests/gateway_parts_test.cc
+++ b/packages/gateway/tests/gateway_parts_test.cc
@@ -108,6 +108,19 @@
   BOOST_TEST(Picked() == "e1");
 }
 
+// The list shows an endpoint for some time after it has died.
+BOOST_FIXTURE_TEST_CASE(LeavesAnUnreachableEndpointAlone, pool_fixture) {
+  pool.Apply({entries[0]}, {}, At(0));
+  auto endpoint = pool.Find(endpoint_id("e1"));
+  pool.Begin(*endpoint, model_id("m"));
+  pool.End(*endpoint, model_id("m"), decision::attempt_end::connect_failed,
+           At(0));
+  BOOST_TEST((pool.Pick(query, At(1)).miss == pick_miss::not_loaded));
+  BOOST_TEST(
+      (pool.Unreachable(At(1)) == std::vector<endpoint_id>{endpoint_id("e1")}));
+  BOOST_TEST(Picked(5000) == "e1");
+}
+
 BOOST_FIXTURE_TEST_CASE(KeepsAMissingEntryForItsGrace, pool_fixture) {
   pool.Apply({entries[1]}, Milliseconds(1800), At(0));
   BOOST_TEST(Picked() == "e1");
--- a/packages/gateway/tests/placement_planner_test.cc
+++ b/packages/gateway/tests/placement_planner_test.cc
@@ -63,6 +63,21 @@
   BOOST_TEST(world.ReplicasOf(Model(0)) >= 2);
 }
 
+// The list shows an engine for some time after it has died.
+BOOST_AUTO_TEST_CASE(LoadsElsewhereWhatAnUnreachableEngineHolds) {
+  engine_world world(2, 4, 1);
+  world.Run(500);
+  // Model 0 is resident at the first engine only.
+  world.ReportUnreachable(world.engines[0].id());
+  for (int i = 0; i < 80; ++i) {
+    world.ReportUnreachable(world.engines[0].id());
+    world.Want(Model(0), {}, 1);
+    world.ReportUnreachable(world.engines[0].id());
+    world.Run(100);
+  }
+  BOOST_TEST(world.engines[1].Has(Model(0)));
+}
+
 // A holder that is new finds an engine in the middle of a load that the holder
 // before has ordered; its memory is taken although the model is not listed.
 BOOST_AUTO_TEST_CASE(LeavesRoomForTheLoadThatAnotherHolderBegan) {
