--- a/packages/http/include/jasminepath/http/client.h
+++ b/packages/http/include/jasminepath/http/client.h
@@ -58,7 +58,7 @@
 // connection, which tells the peer to stop.
 class call {
  public:
-  call(std::shared_ptr<client_connection> connection);
+  explicit call(std::shared_ptr<client_connection> connection);
   call(const call&) = delete;
   call& operator=(const call&) = delete;
   ~call();
