Share a burst among the nodes that hear each other; count adapters until a report

Cause: every node of 29 that were cut off had a copy of the whole burst, and nodes that started together each began with one (KeepsATeamWithinItsRateWhileManyNodesAreAlone and ...WhenAllNodesStartAnew failed first, 5.7 and 3.7 M of 3.6 M tokens); an old entry took adapters off the count of a new holder.

--- a/packages/gateway/include/jasminepath/gateway/fleet_rate_limiter.h
+++ b/packages/gateway/include/jasminepath/gateway/fleet_rate_limiter.h
@@ -14,9 +14,11 @@
 
 // Keeps each team within its rate and burst over all nodes. Every node holds
 // a copy of the fleet's token bucket and takes from it what it lets through
-// and what its peers report. A peer that is silent is charged its even part of
-// the rate until it reports again, so that two halves of a cut fleet together
-// stay within the rate. Not thread-safe; does no I/O.
+// and what its peers report. A peer that is silent or not yet heard is charged
+// its even part of the rate, and only the part of the burst can be used that
+// falls to the nodes which hear each other, so that the parts of a cut fleet
+// together stay within the limit. Not
+// thread-safe; does no I/O.
 class fleet_rate_limiter {
  public:
   // Takes the teams of a new configuration.
@@ -57,14 +59,20 @@
     // Nodes that it speaks for.
     int64_t nodes = 1;
     std::map<team_id, int64_t> used;
-    // Charged for the time of its silence.
+    // This run of it has reported more than once.
+    bool reported_twice = false;
+    // Charged since its last report.
     std::map<team_id, double> assumed;
   };
 
+  int64_t ReachableNodes(time_point now) const;
   void Fill(time_point now);
+  void Bound(bucket& value) const;
   void Charge(const team_id& team, double tokens);
 
   int64_t node_count_ = 1;
+  // Part of the nodes that this one hears, itself included.
+  double reachable_share_ = 1;
   std::map<team_id, bucket> buckets_;
   std::map<vm_id, peer> peers_;
 };
--- a/packages/gateway/include/jasminepath/gateway/placement_planner.h
+++ b/packages/gateway/include/jasminepath/gateway/placement_planner.h
@@ -84,6 +84,8 @@
     std::optional<int64_t> order_count;
     std::vector<model_id> residents;
     std::map<model_id, std::vector<adapter_state>> adapters;
+    // Adapters that were dropped, and when: an old entry may still list them.
+    std::map<model_key, time_point> dropped;
     std::set<model_id> copies;
     std::set<model_id> hot_copies;
     std::optional<pending_order> pending;
@@ -145,6 +147,9 @@
                   const std::vector<model_id>& on_disk,
                   bool is_report,
                   time_point now);
+  void AddAdapter(engine_state& engine,
+                  const engine_order& order,
+                  time_point now);
   void NoteStoreLoad(const pending_order& order, time_point now);
   void CountDemand(time_point now);
   // The least valuable resident of the engine, and what it is worth.
--- a/packages/gateway/src/fleet_rate_limiter.cc
+++ b/packages/gateway/src/fleet_rate_limiter.cc
@@ -7,14 +7,14 @@
 
 // Silence after which a peer counts as cut off: several times the interval of
 // digests.
-constexpr duration kPeerSilence = Milliseconds(1500);
+constexpr duration kPeerSilence = Milliseconds(1000);
 // Debt is bounded to this many seconds of the rate, so that a burst seen late
 // does not shut a team out for long.
 constexpr double kMostDebtSeconds = 2.0;
 // Share of the burst that has to be there for the largest requests, that is
 // kept for small ones, and up to which a request counts as small.
 constexpr double kMostNeededShare = 0.5;
-constexpr double kReservedShare = 0.15;
+constexpr double kReservedShare = 0.1;
 constexpr double kSmallShare = 0.02;
 // Longest time that a team is asked to wait.
 constexpr double kMostWaitSeconds = 5.0;
@@ -44,26 +44,49 @@
   buckets_ = std::move(next);
 }
 
+int64_t fleet_rate_limiter::ReachableNodes(time_point now) const {
+  int64_t reachable = 1;
+  for (const auto& [node, state] : peers_) {
+    if (now - state.heard_at < kPeerSilence)
+      reachable += state.nodes;
+  }
+  return std::min(reachable, node_count_);
+}
+
 void fleet_rate_limiter::Fill(time_point now) {
+  const int64_t reachable = ReachableNodes(now);
+  int64_t known = 1;
+  for (const auto& [node, state] : peers_)
+    known += state.nodes;
+  const auto unheard =
+      static_cast<double>(std::max<int64_t>(node_count_ - known, 0));
+  reachable_share_ =
+      static_cast<double>(reachable) / static_cast<double>(node_count_);
   for (auto& [id, value] : buckets_) {
     const double elapsed = ToSeconds(now - value.filled_at);
     if (elapsed <= 0)
       continue;
     value.filled_at = now;
-    value.level += elapsed * value.rate;
     const double part = value.rate / static_cast<double>(node_count_);
+    value.level += elapsed * (value.rate - part * unheard);
     for (auto& [node, state] : peers_) {
-      if (now - state.heard_at < kPeerSilence)
+      // A peer that has reported once only has used an unknown amount since.
+      if (state.reported_twice && now - state.heard_at < kPeerSilence)
         continue;
       const double charge = elapsed * part * static_cast<double>(state.nodes);
       value.level -= charge;
       state.assumed[id] += charge;
     }
-    value.level =
-        std::clamp(value.level, -kMostDebtSeconds * value.rate, value.burst);
+    Bound(value);
   }
 }
 
+// Nodes that cannot reach each other share the burst evenly.
+void fleet_rate_limiter::Bound(bucket& value) const {
+  value.level = std::clamp(value.level, -kMostDebtSeconds * value.rate,
+                           value.burst * reachable_share_);
+}
+
 void fleet_rate_limiter::OnDigest(const peer_digest& digest, time_point now) {
   Fill(now);
   peer& state = peers_[digest.node];
@@ -79,18 +102,25 @@
   state.sequence = digest.sequence;
   state.heard_at = now;
   state.nodes = digest.nodes;
-  // What was assumed for the time of its silence is replaced by what it says.
+  if (restarted)
+    state.reported_twice = false;
+  // What was assumed since its last report is replaced by what it says.
   for (const auto& [team, tokens] : state.assumed)
     Charge(team, -tokens);
   state.assumed.clear();
+  std::map<team_id, double> fresh;
   for (const team_use& use : digest.teams) {
     int64_t& known = state.used[use.team];
-    const int64_t fresh = std::max<int64_t>(use.tokens - known, 0);
+    fresh[use.team] =
+        static_cast<double>(std::max<int64_t>(use.tokens - known, 0));
     known = std::max(known, use.tokens);
-    // What a peer used before this node knew it is already in the past.
-    if (!first)
-      Charge(use.team, static_cast<double>(fresh));
   }
+  // What a peer used before this node knew it is already in the past.
+  if (first)
+    return;
+  state.reported_twice = true;
+  for (const auto& [team, tokens] : fresh)
+    Charge(team, tokens);
 }
 
 void fleet_rate_limiter::Charge(const team_id& team, double tokens) {
@@ -115,11 +145,12 @@
   Fill(now);
   bucket& value = found->second;
   const auto size = static_cast<double>(tokens);
+  const double most = value.burst * reachable_share_;
   // A request larger than the burst passes once the bucket is half full.
-  double needed = std::min(size, value.burst * kMostNeededShare);
+  double needed = std::min(size, most * kMostNeededShare);
   // A prompt leaves room for the many small requests that it would shut out.
   if (size > value.burst * kSmallShare)
-    needed = std::max(needed, value.burst * kReservedShare);
+    needed = std::max(needed, most * kReservedShare);
   if (value.level < needed)
     return false;
   value.level -= static_cast<double>(tokens);
@@ -143,7 +174,8 @@
   if (found == buckets_.end() || found->second.rate <= 0)
     return duration::zero();
   const bucket& value = found->second;
-  const double missing = value.burst * kMostNeededShare - value.level -
+  const double missing = value.burst * reachable_share_ * kMostNeededShare -
+                         value.level -
                          ToSeconds(now - value.filled_at) * value.rate;
   const double seconds =
       std::clamp(missing / value.rate, 0.1, kMostWaitSeconds);
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -30,6 +30,8 @@
 // Interval of digests; one is sent at once when a call begins to wait for a
 // model.
 constexpr duration kDigestInterval = Milliseconds(300);
+// Nodes that are taken to share the rates before the others are known.
+constexpr int64_t kNodesBeforeKnown = 64;
 // Pause before a failed registration is tried again.
 constexpr duration kRegisterRetry = Milliseconds(500);
 // Time in which an entry that is missing after an outage of the store may come
@@ -268,7 +270,7 @@
               {"teams", static_cast<int64_t>(next->teams().size())}});
   context_.site = next;
   callers_.SetLimits(next->limits());
-  limiter_.SetNodeCount(peers_.node_count());
+  limiter_.SetNodeCount(peers_known_ ? peers_.node_count() : kNodesBeforeKnown);
   limiter_.SetTeams(next->teams(), boot_clock::now());
   orders_.SetSite(*next);
   queue_.WakeAll();
@@ -335,6 +337,12 @@
       log_.Write(report::log_level::warning, "registration_unreadable",
                  {{"node", row.key}, {"reason", parsed.error().message}});
   }
+  peers_known_ = true;
+  // Begins anew with the part of each burst that falls to this node.
+  limiter_ = fleet_rate_limiter();
+  limiter_.SetNodeCount(peers_.node_count());
+  if (context_.site)
+    limiter_.SetTeams(context_.site->teams(), now);
   SendDigest();
 }
 
@@ -487,9 +495,9 @@
   const int64_t rank = peers_.RankInZone(now);
   endpoint_rows_.SetPolling(rank < kEndpointReaders);
   site_rows_.SetPolling(rank < kSiteReaders);
-  const int64_t nodes = peers_.node_count();
-  limiter_.SetNodeCount(nodes);
-  retries_.SetNodes(nodes);
+  if (peers_known_)
+    limiter_.SetNodeCount(peers_.node_count());
+  retries_.SetNodes(peers_.node_count());
   endpoints_.DropMissing(now);
   orders_.Tick(now);
   if (queue_.size() > 0)
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -96,6 +96,8 @@
   http::timer register_timer_;
   store_client::handle register_call_;
   uint64_t sequence_ = 0;
+  // The registered nodes have been read.
+  bool peers_known_ = false;
   bool was_ready_ = false;
   bool stopping_ = false;
   time_point stop_began_{};
--- a/packages/gateway/src/placement_planner.cc
+++ b/packages/gateway/src/placement_planner.cc
@@ -277,10 +277,26 @@
       pending.accepted || report.order_count > pending.order.if_order_count;
   // An order that never arrived can be given again under the same count: if the
   // first one comes late, only one of the two is accepted.
+  if (counted && pending.order.kind == order_kind::load &&
+      !pending.order.adapter.empty())
+    AddAdapter(engine, pending.order, now);
   if (counted || now - pending.sent_at > kReportLag)
     engine.pending.reset();
 }
 
+// An adapter that was ordered counts at once, though reports list it only when
+// it has arrived.
+void placement_planner::AddAdapter(engine_state& engine,
+                                   const engine_order& order,
+                                   time_point now) {
+  auto& adapters = engine.adapters[order.model];
+  const bool known = std::any_of(
+      adapters.begin(), adapters.end(),
+      [&](const adapter_state& a) { return a.adapter == order.adapter; });
+  if (!known)
+    adapters.push_back({order.adapter, now + kAdapterLoad, now, false});
+}
+
 // An entry may be older than the last orders, and engines drop nothing by
 // themselves: only a report, or the end of an unload, takes a model away.
 void placement_planner::ApplyState(engine_state& engine,
@@ -294,21 +310,26 @@
   for (const resident_model& model : models) {
     residents.push_back(model.model);
     engine.copies.insert(model.model);
+    auto& merged = adapters[model.model];
     for (const adapter_id& adapter : model.adapters) {
+      const auto dropped = engine.dropped.find({model.model, adapter});
+      if (!is_report && dropped != engine.dropped.end() &&
+          now - dropped->second < kEntryLag)
+        continue;
       adapter_state state{adapter, time_point{}, now, true};
       for (const adapter_state& known : engine.adapters[model.model]) {
         if (known.adapter == adapter)
           state = known;
       }
-      adapters[model.model].push_back(state);
+      merged.push_back(state);
     }
-    // An adapter that was ordered a moment ago may not be listed yet.
     for (const adapter_state& known : engine.adapters[model.model]) {
-      const bool listed = std::any_of(
-          model.adapters.begin(), model.adapters.end(),
-          [&](const adapter_id& adapter) { return adapter == known.adapter; });
-      if (!listed && now - known.ready_at < kEntryLag)
-        adapters[model.model].push_back(known);
+      const bool listed_too = std::any_of(
+          merged.begin(), merged.end(), [&](const adapter_state& state) {
+            return state.adapter == known.adapter;
+          });
+      if (!listed_too && (!is_report || now - known.ready_at < kReportLag))
+        merged.push_back(known);
     }
   }
   const std::vector<model_id> listed = residents;
@@ -733,11 +754,13 @@
           (for_adapter && order.kind == order_kind::unload))
         engine.order_count = order.if_order_count.value_or(0) + 1;
       if (for_adapter && order.kind == order_kind::load)
-        adapters.push_back({order.adapter, now + kAdapterLoad, now, false});
-      if (for_adapter && order.kind == order_kind::unload)
+        AddAdapter(engine, order, now);
+      if (for_adapter && order.kind == order_kind::unload) {
+        engine.dropped[{order.model, order.adapter}] = now;
         std::erase_if(adapters, [&](const adapter_state& a) {
           return a.adapter == order.adapter;
         });
+      }
       if (for_adapter || verdict == order_verdict::already_holds)
         engine.pending.reset();
       return;
