--- a/packages/gateway/include/jasminepath/gateway/gateway_settings.h
+++ b/packages/gateway/include/jasminepath/gateway/gateway_settings.h
@@ -20,10 +20,6 @@
   // Repeated sends, as a share of first ones, and the fixed part on top of it.
   double retry_share = 0.2;
   int64_t retry_reserve = 50;
-  // Loads from the weight store are counted in this window, and may exceed the
-  // rate by this factor.
-  duration load_window = Seconds(5);
-  double load_factor = 1.0;
 
   friend bool operator==(const fleet_bounds&, const fleet_bounds&) = default;
 };
@@ -40,7 +36,6 @@
   // Free for the nodes' own messages, for metrics and for facts.
   uint16_t first_free_port = 0;
   uint16_t last_free_port = 0;
-  int64_t memory_mb = 0;
   // From the order to stop until no new connection is taken: the balancer asks
   // every second and needs two answers in a row to see that the node stops.
   duration lame_duck = Milliseconds(2600);
--- a/packages/gateway/include/jasminepath/gateway/site.h
+++ b/packages/gateway/include/jasminepath/gateway/site.h
@@ -80,9 +80,6 @@
 
 // What the engines of a model service have in common.
 struct engine_spec {
-  // Requests that run at once, and tokens that their memory holds.
-  int64_t slots = 1;
-  int64_t cache_tokens = 0;
   // Memory for weights and adapters, in MB.
   int64_t weight_mb = 0;
   int64_t adapter_slots = 0;
--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -292,7 +292,6 @@
 }
 
 bool call_session::OnHead(const http::response_head& head) {
-  attempt_->endpoint->heard_at = boot_clock::now();
   answer_fields fields = context_.codec.DecodeAnswer(head);
   if (fields.request && *fields.request != request_.id) {
     Log("answer_skipped", "other_request", head.status);
@@ -320,7 +319,6 @@
 }
 
 void call_session::OnBody(std::string_view piece) {
-  attempt_->endpoint->heard_at = boot_clock::now();
   if (attempt_->relaying && route_->kind == request_kind::streaming) {
     StartSilenceTimer();
     RelayEvents(piece);
--- a/packages/gateway/src/endpoint_pool.h
+++ b/packages/gateway/src/endpoint_pool.h
@@ -47,8 +47,6 @@
   std::map<model_id, int64_t> running_by_model;
   // It took no connection; asked again from then on.
   time_point unreachable_until{};
-  // When anything was last received from it.
-  time_point heard_at{};
   // Models and adapters about to be dropped, until the entry shows it.
   std::map<std::pair<model_id, adapter_id>, time_point> closing;
   // Models and adapters said to be ready ahead of the entry, and when.
--- a/packages/gateway/src/order_desk.cc
+++ b/packages/gateway/src/order_desk.cc
@@ -208,11 +208,11 @@
                       std::function<void(const http::response*)> done) {
   calls_.emplace_back();
   const auto place = std::prev(calls_.end());
-  place->call = std::make_unique<http::whole_call>(
+  *place = std::make_unique<http::whole_call>(
       loop_, *endpoint.client, message, kEngineCallTimeout,
       [this, place, done = std::move(done)](const http::response* answer,
                                             http::call_failure) {
-        const running_call finished = std::move(*place);
+        const auto finished = std::move(*place);
         calls_.erase(place);
         done(answer);
       });
--- a/packages/gateway/src/order_desk.h
+++ b/packages/gateway/src/order_desk.h
@@ -52,10 +52,6 @@
   int64_t orders() const { return orders_; }
 
  private:
-  struct running_call {
-    std::unique_ptr<http::whole_call> call;
-  };
-
   void StepLease(time_point now);
   void OnLeaseRead(const store_answer& answer);
   void OnLeaseWritten(const store_answer& answer);
@@ -79,7 +75,8 @@
   store_client::handle lease_call_;
   std::map<service_id, placement_planner> planners_;
   std::function<void(const load_notice&)> on_notice_;
-  std::list<running_call> calls_;
+  // Calls to engines under way.
+  std::list<std::unique_ptr<http::whole_call>> calls_;
   bool held_before_ = false;
   vm_id holder_before_;
   int64_t orders_ = 0;
--- a/packages/gateway/tests/engine_world.h
+++ b/packages/gateway/tests/engine_world.h
@@ -33,7 +33,6 @@
 
 inline engine_spec MakeSpec(int models) {
   engine_spec spec;
-  spec.slots = 64;
   spec.weight_mb = kEngineMb;
   spec.adapter_slots = kAdapterSlots;
   spec.loads_per_second = kLoadsPerSecond;
