Put the planner's comments back, name its weights, log unreadable datagrams

Read-through of the change: comments that the split had left above Plan(), a parameter that was always true, two loops over the same reports, the sender of a datagram looked up twice, members that nothing read. Unreadable datagrams were counted but shown nowhere. No decision changes.

--- a/packages/gateway/include/jasminepath/gateway/placement_planner.h
+++ b/packages/gateway/include/jasminepath/gateway/placement_planner.h
@@ -160,7 +160,6 @@
   // displaces.
   bool Place(const model_id& model,
              double worth,
-             bool allow_store,
              time_point now,
              std::vector<engine_order>& orders);
   void ContinueIntents(time_point now, std::vector<engine_order>& orders);
--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -154,11 +154,19 @@
   spec_ = site_->FindService(service_);
 }
 
+model_id call_session::NeededModel() const {
+  return spec_ != nullptr && spec_->engine ? request_.model : model_id();
+}
+
+void call_session::RecordFirstByte() {
+  context_.metrics.RecordFirstByte(service_, boot_clock::now() - arrived_at_);
+}
+
 endpoint_query call_session::Query() const {
   endpoint_query query;
   query.service = service_;
+  query.model = NeededModel();
   if (spec_ != nullptr && spec_->engine) {
-    query.model = request_.model;
     query.adapter = request_.adapter;
     query.affinity = affinity_;
   }
@@ -233,7 +241,6 @@
 }
 
 void call_session::Send(std::shared_ptr<pooled_endpoint> endpoint) {
-  const time_point now = boot_clock::now();
   attempt_fields fields;
   fields.endpoint = endpoint->entry.id;
   fields.time_left = TimeLeft() - kAnswerMargin;
@@ -246,10 +253,9 @@
   ++sends_;
   ++tries_;
   context_.metrics.CountAttempt();
-  context_.endpoints.Begin(*endpoint, Query().model);
+  context_.endpoints.Begin(*endpoint, NeededModel());
   attempt_ = attempt();
   attempt_->endpoint = std::move(endpoint);
-  attempt_->sent_at = now;
   http::call_options options = OptionsFor();
   if (attempt_->endpoint->health.wants_fresh_connection())
     options.reuse_within = duration::zero();
@@ -351,8 +357,7 @@
 void call_session::Relay(std::string_view piece) {
   if (!answer_started_) {
     answer_started_ = true;
-    first_byte_at_ = boot_clock::now();
-    context_.metrics.RecordFirstByte(service_, first_byte_at_ - arrived_at_);
+    RecordFirstByte();
     reply_->Start(WithoutConnectionFields(attempt_->head));
   }
   reply_->Write(piece);
@@ -370,7 +375,7 @@
   silence_timer_.Cancel();
   if (attempt_->fields.closing)
     attempt_->endpoint->client->CloseIdle();
-  context_.endpoints.End(*attempt_->endpoint, Query().model, end,
+  context_.endpoints.End(*attempt_->endpoint, NeededModel(), end,
                          boot_clock::now());
   attempt_.reset();
   context_.queue.WakeAll();
@@ -417,8 +422,7 @@
   if (answer_started_) {
     reply_->Finish();
   } else {
-    first_byte_at_ = boot_clock::now();
-    context_.metrics.RecordFirstByte(service_, first_byte_at_ - arrived_at_);
+    RecordFirstByte();
     reply_->Respond(WithoutConnectionFields(done.head), done.body);
   }
   Finish("answered", status);
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -36,7 +36,6 @@
   // How the attempt in progress has gone so far.
   struct attempt {
     std::shared_ptr<pooled_endpoint> endpoint;
-    time_point sent_at{};
     answer_fields fields;
     http::response_head head;
     bool head_seen = false;
@@ -48,6 +47,9 @@
   bool TakeRate();
   void ChooseService();
   endpoint_query Query() const;
+  // The model that the endpoint has to hold; empty for a plain service.
+  model_id NeededModel() const;
+  void RecordFirstByte();
 
   void Dispatch();
   void WaitForEndpoint(pick_miss miss);
@@ -107,7 +109,6 @@
   // Some attempt may have run the request.
   bool may_have_run_ = false;
   bool answer_started_ = false;
-  time_point first_byte_at_{};
   bool queued_ = false;
   bool queued_for_load_ = false;
   bool ended_ = false;
--- a/packages/gateway/src/endpoint_pool.cc
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -18,9 +18,10 @@
 constexpr duration kUnreachableTime = Milliseconds(1000);
 // How long a model is not asked for where it was found missing.
 constexpr duration kNotHeldTime = Milliseconds(1500);
-// What a request in another zone, and one away from its engine with the shared
-// prompt parts, costs in running requests.
+// What a request in another zone (to an engine, to a plain service), and one
+// away from its engine with the shared prompt parts, costs in running requests.
 constexpr double kOtherZoneCost = 3.0;
+constexpr double kOtherZonePlainCost = 1.0;
 constexpr double kOffAffinityCost = 6.0;
 // First time that a failing endpoint is out of rotation, and the longest.
 constexpr duration kFirstEjection = Milliseconds(1500);
@@ -168,7 +169,7 @@
                             bool preferred) const {
   auto score = static_cast<double>(endpoint.total_running());
   if (endpoint.entry.zone != zone_)
-    score += query.model.empty() ? 1.0 : kOtherZoneCost;
+    score += query.model.empty() ? kOtherZonePlainCost : kOtherZoneCost;
   if (!preferred)
     score += kOffAffinityCost;
   return score;
--- a/packages/gateway/src/fleet_rate_limiter.cc
+++ b/packages/gateway/src/fleet_rate_limiter.cc
@@ -96,14 +96,14 @@
   // A zone's new speaker has a count of its own, most of which its predecessor
   // has reported.
   const bool first = state.incarnation == 0 || (restarted && digest.whole_zone);
-  if (restarted)
+  if (restarted) {
     state.used.clear();
+    state.reported_twice = false;
+  }
   state.incarnation = digest.incarnation;
   state.sequence = digest.sequence;
   state.heard_at = now;
   state.nodes = digest.nodes;
-  if (restarted)
-    state.reported_twice = false;
   // What was assumed since its last report is replaced by what it says.
   for (const auto& [team, tokens] : state.assumed)
     Charge(team, -tokens);
--- a/packages/gateway/src/peer_group.cc
+++ b/packages/gateway/src/peer_group.cc
@@ -1,6 +1,7 @@
 #include "peer_group.h"
 
 #include <algorithm>
+#include <bit>
 #include <boost/asio/buffer.hpp>
 #include <vector>
 
@@ -73,18 +74,20 @@
       DecodePeerMessage(std::string_view(buffer_.data(), length));
   if (!message) {
     ++unreadable_;
+    // At powers of two only, so that a flood does not fill the log.
+    if (std::has_single_bit(static_cast<uint64_t>(unreadable_)))
+      log_.Write(
+          report::log_level::warning, "datagram_unreadable",
+          {{"sender", sender_.address().to_string()}, {"count", unreadable_}});
     return;
   }
-  bool from_other_zone = false;
+  const std::optional<bool> elsewhere = SenderIsElsewhere();
+  bool from_other_zone = elsewhere.value_or(false);
   if (const auto* digest = std::get_if<peer_digest>(&*message)) {
     if (digest->node == self_ || digest->node.empty())
       return;
     const bool other = digest->zone != zone_;
-    const auto sender = std::find_if(
-        peers_.begin(), peers_.end(),
-        [this](const auto& item) { return item.second.address == sender_; });
-    from_other_zone =
-        other && (sender == peers_.end() || sender->second.zone != zone_);
+    from_other_zone = other && elsewhere.value_or(true);
     const time_point now = boot_clock::now();
     if (!digest->whole_zone) {
       NoteNode(*digest, now);
@@ -95,16 +98,20 @@
       speaker.heard_at = now;
       speaker.nodes = digest->nodes;
     }
-  } else {
-    const auto sender = std::find_if(
-        peers_.begin(), peers_.end(),
-        [this](const auto& item) { return item.second.address == sender_; });
-    from_other_zone = sender != peers_.end() && sender->second.zone != zone_;
   }
   if (on_message_)
     on_message_(*message, from_other_zone);
 }
 
+std::optional<bool> peer_group::SenderIsElsewhere() const {
+  const auto sender = std::find_if(
+      peers_.begin(), peers_.end(),
+      [this](const auto& item) { return item.second.address == sender_; });
+  if (sender == peers_.end())
+    return std::nullopt;
+  return sender->second.zone != zone_;
+}
+
 void peer_group::NoteNode(const peer_digest& digest, time_point now) {
   peer_state& peer = peers_[digest.node];
   const bool restarted = peer.incarnation != digest.incarnation;
--- a/packages/gateway/src/peer_group.h
+++ b/packages/gateway/src/peer_group.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -84,11 +85,13 @@
   // Nodes of this zone, this one included.
   int64_t zone_node_count() const;
   const std::map<vm_id, peer_state>& peers() const { return peers_; }
-  int64_t unreadable() const { return unreadable_; }
 
  private:
   void Receive();
   void OnDatagram(std::size_t length);
+  // Whether the last datagram came from a node that is known to be in another
+  // zone; nothing if its sender is not known.
+  std::optional<bool> SenderIsElsewhere() const;
   void NoteNode(const peer_digest& digest, time_point now);
   void SendBytes(const std::string& bytes,
                  const boost::asio::ip::udp::endpoint& address);
--- a/packages/gateway/src/placement_planner.cc
+++ b/packages/gateway/src/placement_planner.cc
@@ -24,6 +24,16 @@
 // What it costs to drop a model with running requests: the usual time until
 // they have ended, in seconds.
 constexpr double kRunningWorth = 1.2;
+// Worth of the last replica of a model that nobody asks for, so that one of
+// several goes first.
+constexpr double kLastReplicaWorth = 0.01;
+// Worth of a resident model of which the engine keeps no other copy.
+constexpr double kOnlyCopyWorth = 0.2;
+// Cost of a running request of an engine that is to load a model, in seconds.
+constexpr double kBusyCost = 0.02;
+// A node that still waits for an adapter that is ready is told again after this
+// time.
+constexpr duration kNoticeRepeat = Milliseconds(100);
 // Loads from the weight store ahead of any demand.
 constexpr int64_t kCopyLoadsAtOnce = 2;
 // The nodes are told at this interval how long a load will take that cannot
@@ -124,17 +134,15 @@
       static_cast<double>(std::max<int64_t>(ReplicaCount(model), 1));
   double value = rate / replicas;
   if (replicas <= 1)
-    value += rate + 0.01;
+    value += rate + kLastReplicaWorth;
   const auto found = models_.find(model);
-  if (found != models_.end()) {
-    if (replicas <= 1 && found->second.waiting > 0)
-      value += kWaitingWorth;
-  }
+  if (replicas <= 1 && found != models_.end() && found->second.waiting > 0)
+    value += kWaitingWorth;
   // An unload waits for what runs.
   if (RunningOn(engine, model) > 0)
     value += kRunningWorth;
   if (!engine.copies.contains(model))
-    value += 0.2;
+    value += kOnlyCopyWorth;
   return value;
 }
 
@@ -160,10 +168,6 @@
   return store_tokens_ >= 1.0 && StoreLoads() < store_parallel_;
 }
 
-// An adapter that was ordered counts at once, though reports list it only when
-// it has arrived.
-// An entry may be older than the last orders, and engines drop nothing by
-// themselves: only a report, or the end of an unload, takes a model away.
 std::vector<engine_order> placement_planner::Plan(time_point now) {
   Refill(now);
   CountDemand(now);
@@ -218,7 +222,6 @@
 
 bool placement_planner::Place(const model_id& model,
                               double worth,
-                              bool allow_store,
                               time_point now,
                               std::vector<engine_order>& orders) {
   const model_spec* spec = Spec(model);
@@ -230,7 +233,7 @@
   for (auto& [id, engine] : engines_) {
     if (!Idle(engine, now) || Resident(engine, model))
       continue;
-    if (FromStore(engine, model) && (!allow_store || !StoreHasRoom()))
+    if (FromStore(engine, model) && !StoreHasRoom())
       continue;
     const bool free = UsedMemory(engine) + spec->weight_mb <= spec_.weight_mb;
     double displaced = 0;
@@ -242,7 +245,7 @@
     }
     // A second of waiting weighs like a displaced request.
     const double cost = ToSeconds(LoadTime(engine, *spec)) + displaced +
-                        0.02 * static_cast<double>(RunningOn(engine));
+                        kBusyCost * static_cast<double>(RunningOn(engine));
     if (cost < best_cost) {
       best = &engine;
       best_cost = cost;
@@ -273,7 +276,7 @@
   int64_t queued = 0;
   for (const auto& [waiting, id] : wanted) {
     const double worth = kWaitingWorth - static_cast<double>(waiting);
-    if (!Place(id, worth, true, now, orders))
+    if (!Place(id, worth, now, orders))
       Estimate(id, queued++, now);
   }
 }
@@ -310,7 +313,7 @@
     const bool exposed = replicas < 2 && rate >= kRateForSecondReplica;
     const bool crowded = model.running > kRunningPerReplica * replicas;
     if (exposed || crowded)
-      Place(id, rate / static_cast<double>(replicas + 1), true, now, orders);
+      Place(id, rate / static_cast<double>(replicas + 1), now, orders);
   }
 }
 
@@ -332,7 +335,7 @@
                   Resident(item.second, spec.model));
         });
     if (!somewhere && !OnTheWay(spec.model))
-      Place(spec.model, kRateForSecondReplica, true, now, orders);
+      Place(spec.model, kRateForSecondReplica, now, orders);
   }
 }
 
@@ -366,8 +369,8 @@
         [&](const adapter_state& a) { return a.adapter == key.second; });
     if (held != known.end()) {
       // The node that waits may have missed the notice.
-      if (held->announced && now - held->ready_at > Milliseconds(100) &&
-          now - held->last_used > Milliseconds(100)) {
+      if (held->announced && now - held->ready_at > kNoticeRepeat &&
+          now - held->last_used > kNoticeRepeat) {
         held->last_used = now;
         Announce(engine, key.first, key.second, load_change::ready, {});
       }
--- a/packages/gateway/src/placement_planner_state.cc
+++ b/packages/gateway/src/placement_planner_state.cc
@@ -9,7 +9,8 @@
 namespace jasminepath::gateway {
 namespace {
 
-// The same once loads have been slow.
+// Loads from the weight store that run at once at the least, however slow they
+// have been.
 constexpr int64_t kLeastStoreLoads = 2;
 // A load that takes longer than this multiple of its time shows that too many
 // run at once.
@@ -127,15 +128,17 @@
   const pending_order& pending = *engine.pending;
   const bool counted =
       pending.accepted || report.order_count > pending.order.if_order_count;
-  // An order that never arrived can be given again under the same count: if the
-  // first one comes late, only one of the two is accepted.
   if (counted && pending.order.kind == order_kind::load &&
       !pending.order.adapter.empty())
     AddAdapter(engine, pending.order, now);
+  // An order that never arrived can be given again under the same count: if the
+  // first one comes late, only one of the two is accepted.
   if (counted || now - pending.sent_at > kReportLag)
     engine.pending.reset();
 }
 
+// An adapter that was ordered counts at once, though reports list it only when
+// it has arrived.
 void placement_planner::AddAdapter(engine_state& engine,
                                    const engine_order& order,
                                    time_point now) {
@@ -147,6 +150,8 @@
     adapters.push_back({order.adapter, now + kAdapterLoad, now, false});
 }
 
+// An entry may be older than the last orders, and engines drop nothing by
+// themselves: only a report, or the end of an unload, takes a model away.
 void placement_planner::ApplyState(engine_state& engine,
                                    const std::vector<resident_model>& models,
                                    const std::vector<model_id>& in_memory,
@@ -287,18 +292,14 @@
       continue;
     for (const endpoint_id& engine : report.unreachable)
       unreachable[engine] += report.whole_zone ? kReportersNeeded : 1;
-  }
-  for (auto& [id, engine] : engines_)
-    engine.unreachable = unreachable[id] >= kReportersNeeded;
-  for (const auto& [node, report] : nodes_) {
-    if (now - report.heard_at > kNodeSilence)
-      continue;
     for (const auto& [key, use] : report.uses) {
       models_[key.first].waiting += use.waiting;
       if (!key.second.empty() && use.waiting > 0)
         adapters_waiting_[key] += use.waiting;
     }
   }
+  for (auto& [id, engine] : engines_)
+    engine.unreachable = unreachable[id] >= kReportersNeeded;
   std::erase_if(urgent_, [&](const auto& item) {
     return now - item.second.heard_at > kUrgentHolds;
   });
