Send demand to the placement holder only; fetch changes instead of whole tables

Digests were lost, peers counted as silent (1,023 times in 39 s), every node polled the store and watched the lease. Besides, the engines that a node cannot reach were never encoded, so that the placement holder heard of its own only. Ruled out: a limit on the size of datagrams; those of 4 to 5 KB arrive. Change: demand, models and unreachable engines go to the zone's speaker and to the holder; the others get load by endpoint, rates and versions. A peer that lacks changes gets just these; table_copy keeps removed rows for it.

--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -83,12 +83,19 @@
   // more of it.
   std::vector<endpoint_id> unreachable;
   std::vector<crash_count> crashes;
+  // Says what is asked for and which models run, which only the placement
+  // holder and a zone's speaker need; else see WithoutDemand().
+  bool has_demand = true;
   // The process is about to end.
   bool leaving = false;
 
   friend bool operator==(const peer_digest&, const peer_digest&) = default;
 };
 
+// The digest as it goes to the nodes that do not place models: running requests
+// by endpoint alone, and nothing of what is asked for.
+peer_digest WithoutDemand(const peer_digest& digest);
+
 // How an engine's readiness for a model or adapter changes.
 enum class load_change { loading, ready, closing };
 
@@ -116,7 +123,7 @@
   friend bool operator==(const changed_row&, const changed_row&) = default;
 };
 
-// Changes of a table that one node of a zone has read for the others.
+// Changes of a table that one node has read and others lack.
 struct table_changes {
   std::string table;
   // IP:PORT of the facts of the node that has read them.
@@ -126,7 +133,10 @@
   int64_t previous_change = 0;
   int64_t last_change = 0;
   int64_t complete_to = 0;
-  // Empty if they are too large for a datagram and have to be fetched.
+  // The rows are all that the table has.
+  bool whole = false;
+  // In the order of their versions; empty if they are too large for a datagram
+  // and have to be fetched.
   std::vector<changed_row> rows;
 
   friend bool operator==(const table_changes&, const table_changes&) = default;
--- a/packages/gateway/src/fact_relay.cc
+++ b/packages/gateway/src/fact_relay.cc
@@ -1,32 +1,27 @@
 #include "fact_relay.h"
 
-#define MSGPACK_NO_BOOST
-#include <msgpack.hpp>
-
+#include <charconv>
 #include <optional>
-#include <tuple>
 #include <utility>
-#include <vector>
+#include <variant>
 
 namespace jasminepath::gateway {
 namespace {
 
 constexpr char kPathPrefix[] = "/facts/";
+constexpr std::string_view kKnownChange = "?after=";
 // Time limit of a fetch from a peer.
 constexpr duration kFetchTimeout = Milliseconds(800);
 
-// Key, value and version of each row; the version of the table and its last
-// change.
-using packed_row = std::tuple<std::string, std::string, int64_t>;
-using packed_table = std::tuple<int64_t, int64_t, std::vector<packed_row>>;
-
-std::optional<packed_table> Decode(const std::string& bytes) {
-  try {
-    return msgpack::unpack(bytes.data(), bytes.size()).get().as<packed_table>();
-  } catch (const std::exception&) {
-    // The caller logs that the copy cannot be read.
-    return std::nullopt;
-  }
+// Version of the last change that the peer knows; 0 if the target names none.
+revision KnownChange(std::string_view target) {
+  const std::size_t query = target.find(kKnownChange);
+  if (query == std::string_view::npos)
+    return {};
+  int64_t known = 0;
+  const char* first = target.data() + query + kKnownChange.size();
+  std::from_chars(first, target.data() + target.size(), known);
+  return revision(known);
 }
 
 }  // namespace
@@ -35,18 +30,12 @@
     : loop_(loop), log_(log) {}
 
 std::string fact_relay::PathOfTable(const table_follower& table) {
-  return kPathPrefix + table.table();
+  return kPathPrefix + table.copy().table();
 }
 
-std::string fact_relay::Encode(const table_follower& table) {
-  packed_table packed;
-  std::get<0>(packed) = table.version().count();
-  std::get<1>(packed) = table.last_change().count();
-  for (const auto& [key, row] : table.rows())
-    std::get<2>(packed).emplace_back(key, row.value, row.version.count());
-  msgpack::sbuffer buffer;
-  msgpack::pack(buffer, packed);
-  return {buffer.data(), buffer.size()};
+std::string fact_relay::Answer(const table_follower& table,
+                               std::string_view target) {
+  return EncodePeerMessage(table.copy().ChangesSince(KnownChange(target)));
 }
 
 void fact_relay::Fetch(const std::string& facts_address,
@@ -58,7 +47,8 @@
   client_ = std::make_unique<http::client>(loop_, address.value());
   http::request message;
   message.method = "GET";
-  message.target = PathOfTable(table);
+  message.target = PathOfTable(table) + std::string(kKnownChange) +
+                   std::to_string(table.copy().last_change().count());
   message.headers.Add("Host", facts_address);
   call_ = std::make_unique<http::whole_call>(
       loop_, *client_, message, kFetchTimeout,
@@ -73,26 +63,26 @@
                            table_follower& table) {
   if (answer == nullptr || answer->head.status != 200) {
     log_.Write(report::log_level::warning, "facts_not_fetched",
-               {{"peer", peer.value()}, {"table", table.table()}});
+               {{"peer", peer.value()}, {"table", table.copy().table()}});
     return;
   }
-  const auto packed = Decode(answer->body);
-  if (!packed) {
+  const auto message = DecodePeerMessage(answer->body);
+  const auto* changes =
+      message ? std::get_if<table_changes>(&*message) : nullptr;
+  if (changes == nullptr || changes->table != table.copy().table()) {
     log_.Write(report::log_level::warning, "facts_unreadable",
-               {{"peer", peer.value()}, {"table", table.table()}});
+               {{"peer", peer.value()}, {"table", table.copy().table()}});
     return;
   }
-  std::vector<table_row> rows;
-  for (const auto& [key, value, version] : std::get<2>(*packed))
-    rows.push_back({key, value, revision(version), false});
-  const revision before = table.version();
-  table.Adopt(rows, revision(std::get<0>(*packed)),
-              revision(std::get<1>(*packed)));
-  if (table.version() != before)
+  const revision before = table.copy().version();
+  table.Take(*changes);
+  if (table.copy().version() != before)
     log_.Write(report::log_level::info, "facts_adopted",
                {{"peer", peer.value()},
-                {"table", table.table()},
-                {"version", table.version().count()}});
+                {"table", table.copy().table()},
+                {"version", table.copy().version().count()},
+                {"rows", static_cast<int64_t>(changes->rows.size())},
+                {"whole", static_cast<int64_t>(changes->whole)}});
 }
 
 }  // namespace jasminepath::gateway
--- a/packages/gateway/src/fact_relay.h
+++ b/packages/gateway/src/fact_relay.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "jasminepath/base/ids.h"
 #include "jasminepath/http/client.h"
@@ -19,12 +20,14 @@
  public:
   fact_relay(http::event_loop& loop, report::event_log& log);
 
-  // The body of an answer with the whole copy.
-  static std::string Encode(const table_follower& table);
-  // Path at which a node serves its copy of the table.
+  // Path at which a node serves its copy of the table. A request's query says
+  // which change of it the peer knows.
   static std::string PathOfTable(const table_follower& table);
+  // The body of the answer to such a request.
+  static std::string Answer(const table_follower& table,
+                            std::string_view target);
 
-  // Fetches a newer copy from a peer, unless a fetch is under way.
+  // Fetches what the table lacks from a peer, unless a fetch is under way.
   void Fetch(const std::string& facts_address,
              const vm_id& peer,
              table_follower& table);
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -209,7 +209,7 @@
 }
 
 bool gateway_node::IsReady() const {
-  return context_.site && endpoint_rows_.has_copy() && !stopping_;
+  return context_.site && endpoint_rows_.copy().exists() && !stopping_;
 }
 
 void gateway_node::AnswerProbe(const http::request& message,
@@ -228,7 +228,8 @@
                           metrics_.Text(Gauges()));
   for (const table_follower* table : {&site_rows_, &endpoint_rows_}) {
     if (path == fact_relay::PathOfTable(*table))
-      return reply->Respond({200, {}}, fact_relay::Encode(*table));
+      return reply->Respond({200, {}},
+                            fact_relay::Answer(*table, message.target));
   }
   reply->Respond({404, {}}, "");
 }
@@ -250,8 +251,8 @@
 }
 
 void gateway_node::OnSiteRows() {
-  const auto row = site_rows_.rows().find(speech_.configuration_key());
-  if (row == site_rows_.rows().end())
+  const auto row = site_rows_.copy().rows().find(speech_.configuration_key());
+  if (row == site_rows_.copy().rows().end())
     return;
   auto decoded = speech_.DecodeSite(row->second.value);
   if (!decoded) {
@@ -266,6 +267,7 @@
   log_.Write(report::log_level::info, "configuration",
              {{"version", next->version()},
               {"row_version", row->second.version.count()},
+              {"bytes", static_cast<int64_t>(row->second.value.size())},
               {"routes", static_cast<int64_t>(next->routes().size())},
               {"teams", static_cast<int64_t>(next->teams().size())}});
   context_.site = next;
@@ -278,7 +280,7 @@
 
 void gateway_node::OnEndpointRows() {
   std::vector<endpoint_entry> entries;
-  for (const auto& [key, row] : endpoint_rows_.rows()) {
+  for (const auto& [key, row] : endpoint_rows_.copy().rows()) {
     auto decoded = speech_.DecodeEndpoint(key, row.value);
     if (decoded) {
       entries.push_back(std::move(decoded).value());
@@ -349,14 +351,15 @@
 void gateway_node::OnPeerMessage(const peer_message& message,
                                  bool from_other_zone) {
   const time_point now = boot_clock::now();
+  const auto* digest = std::get_if<peer_digest>(&message);
   // What comes from another zone is passed on to this one.
   if (from_other_zone && peers_.IsSpeaker(now))
-    peers_.SendToZone(message);
-  if (const auto* digest = std::get_if<peer_digest>(&message))
+    peers_.SendToZone(digest != nullptr ? WithoutDemand(*digest) : message);
+  if (digest != nullptr)
     return OnDigest(*digest, from_other_zone);
   if (const auto* changes = std::get_if<table_changes>(&message)) {
     for (table_follower* table : {&site_rows_, &endpoint_rows_}) {
-      if (table->table() == changes->table && !table->Take(*changes))
+      if (table->copy().table() == changes->table && !table->Take(*changes))
         relay_.Fetch(changes->facts_address, {}, *table);
     }
     return;
@@ -430,8 +433,8 @@
   digest.incarnation = incarnation_;
   digest.sequence = ++sequence_;
   digest.facts_address = settings_.metrics_address();
-  digest.site_change = site_rows_.last_change().count();
-  digest.endpoints_change = endpoint_rows_.last_change().count();
+  digest.site_change = site_rows_.copy().last_change().count();
+  digest.endpoints_change = endpoint_rows_.copy().last_change().count();
   if (orders_.holds(now)) {
     digest.authority_holder = settings_.node;
     digest.authority_epoch = orders_.lease().fencing().count();
@@ -449,7 +452,9 @@
 void gateway_node::SendDigest() {
   const time_point now = boot_clock::now();
   const peer_digest digest = MakeDigest(now);
-  peers_.SendToZone(digest);
+  const vm_id holder = orders_.lease().holder();
+  peers_.SendToZone(digest, WithoutDemand(digest),
+                    {peers_.Speaker(now), holder});
   summary_.OnDigest(digest, now);
   if (peers_.IsSpeaker(now)) {
     peer_digest sum = summary_.Make(now);
@@ -462,7 +467,9 @@
     sum.facts_address = digest.facts_address;
     sum.site_change = digest.site_change;
     sum.endpoints_change = digest.endpoints_change;
-    peers_.SendToOtherZones(sum, now);
+    peers_.SendToOtherZones(WithoutDemand(sum), now, holder);
+    if (peers_.IsInOtherZone(holder))
+      peers_.SendTo(holder, sum);
   }
   orders_.OnDigest(digest, now);
   if (orders_.holds(now))
@@ -504,9 +511,10 @@
     queue_.WakeAll();
   if (IsReady() != was_ready_) {
     was_ready_ = !was_ready_;
-    log_.Write(report::log_level::info, was_ready_ ? "ready" : "not_ready",
-               {{"site_version", context_.site ? context_.site->version() : 0},
-                {"endpoints_version", endpoint_rows_.version().count()}});
+    log_.Write(
+        report::log_level::info, was_ready_ ? "ready" : "not_ready",
+        {{"site_version", context_.site ? context_.site->version() : 0},
+         {"endpoints_version", endpoint_rows_.copy().version().count()}});
   }
   tick_timer_.Start(kTickInterval, [this] { Tick(); });
 }
--- a/packages/gateway/src/order_desk.cc
+++ b/packages/gateway/src/order_desk.cc
@@ -89,6 +89,8 @@
     lease_.OnHolderDigest(digest.authority_holder,
                           epoch(digest.authority_epoch),
                           revision(digest.authority_version), now);
+  if (!digest.has_demand)
+    return;
   for (auto& [service, planner] : planners_)
     planner.OnDigest(digest, now);
 }
--- a/packages/gateway/src/peer_digest.cc
+++ b/packages/gateway/src/peer_digest.cc
@@ -4,13 +4,14 @@
 #include <msgpack.hpp>
 
 #include <exception>
+#include <map>
 #include <utility>
 
 namespace jasminepath::gateway {
 namespace {
 
 // Format of the messages; another one is not read.
-constexpr uint32_t kFormat = 1;
+constexpr uint32_t kFormat = 2;
 
 // Calls `visit` with each field, in the order in which they are sent.
 template <typename Message, typename Visitor>
@@ -39,7 +40,7 @@
   visit(m.node, m.zone, m.nodes, m.whole_zone, m.incarnation, m.sequence,
         m.facts_address, m.site_change, m.endpoints_change, m.authority_holder,
         m.authority_epoch, m.authority_version, m.teams, m.endpoints, m.models,
-        m.crashes, m.leaving);
+        m.unreachable, m.crashes, m.has_demand, m.leaving);
 }
 template <typename Message, typename Visitor>
 requires std::is_same_v<std::remove_const_t<Message>, load_notice>
@@ -57,7 +58,7 @@
 requires std::is_same_v<std::remove_const_t<Message>, table_changes>
 void ForEachField(Message& m, Visitor&& visit) {
   visit(m.table, m.facts_address, m.previous_change, m.last_change,
-        m.complete_to, m.rows);
+        m.complete_to, m.whole, m.rows);
 }
 
 using packer = msgpack::packer<msgpack::sbuffer>;
@@ -65,6 +66,11 @@
 template <typename T>
 void Pack(packer& out, const T& value);
 
+template <typename Tag>
+void Pack(packer& out, const strong_id<Tag>& id) {
+  out.pack(id.value());
+}
+
 template <typename T>
 void Pack(packer& out, const std::vector<T>& items) {
   out.pack_array(static_cast<uint32_t>(items.size()));
@@ -72,11 +78,6 @@
     Pack(out, item);
 }
 
-template <typename Tag>
-void Pack(packer& out, const strong_id<Tag>& id) {
-  out.pack(id.value());
-}
-
 template <typename T>
 void Pack(packer& out, const T& value) {
   if constexpr (std::is_enum_v<T>) {
@@ -94,6 +95,11 @@
 template <typename T>
 void Unpack(const msgpack::object& from, T& value);
 
+template <typename Tag>
+void Unpack(const msgpack::object& from, strong_id<Tag>& id) {
+  id = strong_id<Tag>(from.as<std::string>());
+}
+
 template <typename T>
 void Unpack(const msgpack::object& from, std::vector<T>& items) {
   if (from.type != msgpack::type::ARRAY)
@@ -103,11 +109,6 @@
     Unpack(from.via.array.ptr[i], items[i]);
 }
 
-template <typename Tag>
-void Unpack(const msgpack::object& from, strong_id<Tag>& id) {
-  id = strong_id<Tag>(from.as<std::string>());
-}
-
 void Unpack(const msgpack::object& from, load_change& change) {
   const auto number = from.as<int64_t>();
   if (number < 0 || number > static_cast<int64_t>(load_change::closing))
@@ -139,6 +140,20 @@
 
 }  // namespace
 
+peer_digest WithoutDemand(const peer_digest& digest) {
+  peer_digest brief = digest;
+  brief.has_demand = false;
+  brief.models.clear();
+  brief.unreachable.clear();
+  std::map<endpoint_id, int64_t> running;
+  for (const endpoint_use& use : digest.endpoints)
+    running[use.endpoint] += use.running;
+  brief.endpoints.clear();
+  for (const auto& [endpoint, count] : running)
+    brief.endpoints.push_back({endpoint, {}, count});
+  return brief;
+}
+
 std::string EncodePeerMessage(const peer_message& message) {
   msgpack::sbuffer buffer;
   packer out(buffer);
--- a/packages/gateway/src/peer_group.cc
+++ b/packages/gateway/src/peer_group.cc
@@ -161,8 +161,25 @@
   }
 }
 
-void peer_group::SendToOtherZones(const peer_message& message, time_point now) {
+void peer_group::SendToZone(const peer_message& full,
+                            const peer_message& brief,
+                            const std::vector<vm_id>& needs_full) {
+  const std::string full_bytes = EncodePeerMessage(full);
+  const std::string brief_bytes = EncodePeerMessage(brief);
+  for (const auto& [node, peer] : peers_) {
+    if (peer.zone != zone_)
+      continue;
+    const bool gets_full = std::find(needs_full.begin(), needs_full.end(),
+                                     node) != needs_full.end();
+    SendBytes(gets_full ? full_bytes : brief_bytes, peer.address);
+  }
+}
+
+void peer_group::SendToOtherZones(const peer_message& message,
+                                  time_point now,
+                                  const vm_id& except) {
   const std::string bytes = EncodePeerMessage(message);
+  const auto left_out = peers_.find(except);
   std::map<zone_id, std::vector<std::pair<uint64_t, udp::endpoint>>> silent;
   for (const auto& [node, peer] : peers_) {
     if (peer.zone == zone_ || peer.zone.empty())
@@ -173,7 +190,9 @@
       silent[peer.zone].emplace_back(RankOf(node), peer.address);
   }
   for (const auto& [zone, speaker] : speakers_) {
-    if (now - speaker.heard_at <= kSilentAfter)
+    const bool is_left_out =
+        left_out != peers_.end() && left_out->second.address == speaker.address;
+    if (now - speaker.heard_at <= kSilentAfter && !is_left_out)
       SendBytes(bytes, speaker.address);
   }
   for (auto& [zone, nodes] : silent) {
@@ -190,16 +209,35 @@
     SendBytes(EncodePeerMessage(message), found->second.address);
 }
 
+bool peer_group::IsInOtherZone(const vm_id& node) const {
+  const auto found = peers_.find(node);
+  return found != peers_.end() && found->second.zone != zone_;
+}
+
+bool peer_group::IsLive(const peer_state& peer, time_point now) const {
+  return peer.zone == zone_ && !peer.leaving && peer.heard_at != time_point{} &&
+         now - peer.heard_at <= kSilentAfter;
+}
+
 int64_t peer_group::RankInZone(time_point now) const {
   const uint64_t own = RankOf(self_);
   return std::count_if(peers_.begin(), peers_.end(), [&](const auto& item) {
-    const peer_state& peer = item.second;
-    return peer.zone == zone_ && !peer.leaving &&
-           peer.heard_at != time_point{} &&
-           now - peer.heard_at <= kSilentAfter && RankOf(item.first) < own;
+    return IsLive(item.second, now) && RankOf(item.first) < own;
   });
 }
 
+vm_id peer_group::Speaker(time_point now) const {
+  vm_id speaker = self_;
+  uint64_t lowest = RankOf(self_);
+  for (const auto& [node, peer] : peers_) {
+    if (IsLive(peer, now) && RankOf(node) < lowest) {
+      speaker = node;
+      lowest = RankOf(node);
+    }
+  }
+  return speaker;
+}
+
 void peer_group::Check(time_point now) {
   std::vector<vm_id> gone;
   for (auto& [node, peer] : peers_) {
--- a/packages/gateway/src/peer_group.h
+++ b/packages/gateway/src/peer_group.h
@@ -70,12 +70,23 @@
   static vm_id NameOfZone(const zone_id& zone);
 
   void SendToZone(const peer_message& message);
-  void SendToOtherZones(const peer_message& message, time_point now);
+  // Sends `full` to the nodes of the zone that `needs_full` names and `brief`
+  // to the others.
+  void SendToZone(const peer_message& full,
+                  const peer_message& brief,
+                  const std::vector<vm_id>& needs_full);
+  // Sends to the speakers of the other zones, all but `except`.
+  void SendToOtherZones(const peer_message& message,
+                        time_point now,
+                        const vm_id& except = {});
   void SendTo(const vm_id& node, const peer_message& message);
+  bool IsInOtherZone(const vm_id& node) const;
 
   // How many live nodes of the zone come before this one; the first speaks.
   int64_t RankInZone(time_point now) const;
   bool IsSpeaker(time_point now) const { return RankInZone(now) == 0; }
+  // The node that speaks for the zone, as far as this one hears.
+  vm_id Speaker(time_point now) const;
 
   // Looks for nodes and zones that fell silent or are gone.
   void Check(time_point now);
@@ -93,6 +104,7 @@
   // zone; nothing if its sender is not known.
   std::optional<bool> SenderIsElsewhere() const;
   void NoteNode(const peer_digest& digest, time_point now);
+  bool IsLive(const peer_state& peer, time_point now) const;
   void SendBytes(const std::string& bytes,
                  const boost::asio::ip::udp::endpoint& address);
 
--- /dev/null
+++ b/packages/gateway/src/table_copy.cc
@@ -0,0 +1,121 @@
+#include "table_copy.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace jasminepath::gateway {
+namespace {
+
+// Removed rows that are remembered for peers that lag behind.
+constexpr std::size_t kMostRemovals = 512;
+
+}  // namespace
+
+bool table_copy::TakeRead(std::map<std::string, table_row> rows,
+                          revision version) {
+  if (exists_ && version < version_)
+    return false;
+  exists_ = true;
+  rows_ = std::move(rows);
+  version_ = version;
+  for (const auto& [key, row] : rows_)
+    last_change_ = std::max(last_change_, row.version);
+  BeginHistory(version_);
+  return true;
+}
+
+std::vector<changed_row> table_copy::TakePolled(
+    const std::vector<table_row>& changes,
+    revision version) {
+  std::vector<changed_row> fresh;
+  for (const table_row& row : changes) {
+    if (Apply(row))
+      fresh.push_back({row.key, row.value, row.version.count(), row.removed});
+  }
+  version_ = std::max(version_, version);
+  return fresh;
+}
+
+table_copy::outcome table_copy::Take(const table_changes& changes) {
+  if (changes.whole)
+    return TakeWhole(changes);
+  if (revision(changes.last_change) <= last_change_)
+    return outcome::unchanged;
+  if (!exists_ || changes.rows.empty() ||
+      revision(changes.previous_change) > last_change_)
+    return outcome::lacks_earlier_changes;
+  bool changed = false;
+  for (const changed_row& row : changes.rows)
+    changed |= Apply({row.key, row.value, revision(row.version), row.removed});
+  version_ = std::max(version_, revision(changes.complete_to));
+  return changed ? outcome::changed : outcome::unchanged;
+}
+
+table_copy::outcome table_copy::TakeWhole(const table_changes& changes) {
+  const revision version(changes.complete_to);
+  const revision last_change(changes.last_change);
+  if (exists_ && (version <= version_ || last_change <= last_change_))
+    return outcome::unchanged;
+  exists_ = true;
+  rows_.clear();
+  for (const changed_row& row : changes.rows)
+    rows_[row.key] = {row.key, row.value, revision(row.version), false};
+  version_ = version;
+  last_change_ = last_change;
+  BeginHistory(version_);
+  return outcome::changed;
+}
+
+table_changes table_copy::ChangesSince(revision after) const {
+  table_changes changes;
+  changes.table = table_;
+  changes.whole = after < history_from_;
+  changes.previous_change = changes.whole ? 0 : after.count();
+  changes.last_change = last_change_.count();
+  changes.complete_to = version_.count();
+  for (const auto& [key, row] : rows_) {
+    if (changes.whole || row.version > after)
+      changes.rows.push_back({key, row.value, row.version.count(), false});
+  }
+  if (!changes.whole) {
+    for (const auto& [version, key] : removals_) {
+      if (version > after)
+        changes.rows.push_back({key, "", version.count(), true});
+    }
+  }
+  std::sort(changes.rows.begin(), changes.rows.end(),
+            [](const changed_row& a, const changed_row& b) {
+              return a.version < b.version;
+            });
+  return changes;
+}
+
+bool table_copy::Apply(const table_row& row) {
+  const auto known = rows_.find(row.key);
+  if (row.version <= last_change_ && known == rows_.end())
+    return false;
+  if (known != rows_.end() && known->second.version >= row.version)
+    return false;
+  last_change_ = std::max(last_change_, row.version);
+  if (row.removed)
+    NoteRemoval(row);
+  else
+    rows_[row.key] = row;
+  return true;
+}
+
+void table_copy::NoteRemoval(const table_row& row) {
+  rows_.erase(row.key);
+  removals_[row.version] = row.key;
+  if (removals_.size() <= kMostRemovals)
+    return;
+  history_from_ = removals_.begin()->first;
+  removals_.erase(removals_.begin());
+}
+
+void table_copy::BeginHistory(revision from) {
+  removals_.clear();
+  history_from_ = from;
+}
+
+}  // namespace jasminepath::gateway
--- a/packages/gateway/src/table_follower.cc
+++ b/packages/gateway/src/table_follower.cc
@@ -29,10 +29,10 @@
                                random_engine& random,
                                std::function<void()> on_change)
     : store_(store),
-      table_(std::move(table)),
       random_(random),
       on_change_(std::move(on_change)),
-      timer_(loop) {}
+      timer_(loop),
+      copy_(std::move(table)) {}
 
 void table_follower::Start() {
   from_key_.clear();
@@ -42,7 +42,7 @@
 
 void table_follower::ReadNext() {
   polling_ = false;
-  call_ = store_.Read(table_, from_key_,
+  call_ = store_.Read(copy_.table(), from_key_,
                       [this](const store_answer& a) { OnRead(a); });
 }
 
@@ -59,14 +59,8 @@
   }
   // A read over several pages is as of its first page at the earliest; changes
   // since then come with the polls.
-  if (!has_copy_ || answer.page.version >= version_) {
-    has_copy_ = true;
-    rows_ = std::move(incoming_);
-    version_ = answer.page.version;
-    for (const auto& [key, row] : rows_)
-      last_change_ = std::max(last_change_, row.version);
+  if (copy_.TakeRead(std::move(incoming_), answer.page.version))
     on_change_();
-  }
   incoming_.clear();
   from_key_.clear();
   Poll();
@@ -76,7 +70,7 @@
   if (polls == polls_)
     return;
   polls_ = polls;
-  if (!has_copy_)
+  if (!copy_.exists())
     return;
   if (polls_)
     return Poll();
@@ -89,7 +83,8 @@
   if (!polls_)
     return;
   polling_ = true;
-  call_ = store_.Poll(table_, version_, failures_ > 0 ? kProbeWait : kPollWait,
+  call_ = store_.Poll(copy_.table(), copy_.version(),
+                      failures_ > 0 ? kProbeWait : kPollWait,
                       [this](const store_answer& a) { OnPolled(a); });
 }
 
@@ -100,17 +95,13 @@
     return Retry();
   failures_ = 0;
   table_changes changes;
-  changes.table = table_;
-  changes.previous_change = last_change_.count();
-  for (const table_row& row : answer.page.rows) {
-    if (Apply(row))
-      changes.rows.push_back(
-          {row.key, row.value, row.version.count(), row.removed});
-  }
-  version_ = std::max(version_, answer.page.version);
+  changes.table = copy_.table();
+  changes.previous_change = copy_.last_change().count();
+  changes.rows = copy_.TakePolled(answer.page.rows, answer.page.version);
   if (!changes.rows.empty()) {
-    changes.last_change = last_change_.count();
-    changes.complete_to = version_.count();
+    behind_since_.reset();
+    changes.last_change = copy_.last_change().count();
+    changes.complete_to = copy_.version().count();
     if (on_changes_)
       on_changes_(changes);
     on_change_();
@@ -118,34 +109,13 @@
   timer_.Start(kPollSpacing, [this] { Poll(); });
 }
 
-bool table_follower::Apply(const table_row& row) {
-  const auto known = rows_.find(row.key);
-  if (row.version <= last_change_ && known == rows_.end())
-    return false;
-  if (known != rows_.end() && known->second.version >= row.version)
-    return false;
-  last_change_ = std::max(last_change_, row.version);
-  behind_since_.reset();
-  if (row.removed)
-    rows_.erase(row.key);
-  else
-    rows_[row.key] = row;
-  return true;
-}
-
 bool table_follower::Take(const table_changes& changes) {
-  if (revision(changes.last_change) <= last_change_)
-    return true;
-  if (!has_copy_ || changes.rows.empty() ||
-      revision(changes.previous_change) > last_change_)
-    return false;
-  bool changed = false;
-  for (const changed_row& row : changes.rows)
-    changed |= Apply({row.key, row.value, revision(row.version), row.removed});
-  version_ = std::max(version_, revision(changes.complete_to));
-  if (changed)
+  const table_copy::outcome outcome = copy_.Take(changes);
+  if (outcome == table_copy::outcome::changed) {
+    behind_since_.reset();
     on_change_();
-  return true;
+  }
+  return outcome != table_copy::outcome::lacks_earlier_changes;
 }
 
 void table_follower::Retry() {
@@ -155,32 +125,17 @@
   std::uniform_int_distribution<int64_t> pause(longest.count() / 2,
                                                longest.count());
   timer_.Start(duration(pause(random_)), [this] {
-    if (has_copy_)
+    if (copy_.exists())
       Poll();
     else
       Start();
   });
 }
 
-void table_follower::Adopt(const std::vector<table_row>& rows,
-                           revision version,
-                           revision last_change) {
-  if (has_copy_ && (version <= version_ || last_change <= last_change_))
-    return;
-  has_copy_ = true;
-  rows_.clear();
-  for (const table_row& row : rows)
-    rows_[row.key] = row;
-  version_ = version;
-  last_change_ = last_change;
-  behind_since_.reset();
-  on_change_();
-}
-
 bool table_follower::IsBehind(revision last_change, time_point now) {
-  if (last_change <= last_change_)
+  if (last_change <= copy_.last_change())
     return false;
-  if (!has_copy_ || (polls_ && failures_ > 0))
+  if (!copy_.exists() || (polls_ && failures_ > 0))
     return true;
   if (!behind_since_)
     behind_since_ = now;
--- a/packages/gateway/src/table_follower.h
+++ b/packages/gateway/src/table_follower.h
@@ -11,6 +11,7 @@
 #include "jasminepath/base/random.h"
 #include "jasminepath/gateway/peer_digest.h"
 #include "store_client.h"
+#include "table_copy.h"
 
 namespace jasminepath::gateway {
 
@@ -36,25 +37,11 @@
   void OnChanges(std::function<void(const table_changes& changes)> callback) {
     on_changes_ = std::move(callback);
   }
-  // Changes that a peer has read. False if this copy lacks what was before them
-  // and has to be fetched.
+  // Changes that a peer has read, or its whole copy. False if this copy lacks
+  // what was before them and has to be fetched.
   bool Take(const table_changes& changes);
 
-  // The rows that exist.
-  const std::map<std::string, table_row>& rows() const { return rows_; }
-  // Whether there is a copy yet.
-  bool has_copy() const { return has_copy_; }
-  // Version as of which the copy is complete.
-  revision version() const { return version_; }
-  // Version of the last change that the copy shows. Unlike version(), it is
-  // the same on all nodes that know the same rows.
-  revision last_change() const { return last_change_; }
-  const std::string& table() const { return table_; }
-
-  // Takes a complete copy of a peer, as of a version, if it is newer.
-  void Adopt(const std::vector<table_row>& rows,
-             revision version,
-             revision last_change);
+  const table_copy& copy() const { return copy_; }
 
   // A peer knows a change. True if this copy lacks it for longer than the store
   // takes to tell it, so that it is better fetched from the peer; the pending
@@ -66,21 +53,17 @@
   void Poll();
   void OnRead(const store_answer& answer);
   void OnPolled(const store_answer& answer);
-  bool Apply(const table_row& row);
   void Retry();
 
   store_client& store_;
-  std::string table_;
   random_engine& random_;
   std::function<void()> on_change_;
   http::timer timer_;
   store_client::handle call_;
-  std::map<std::string, table_row> rows_;
+  table_copy copy_;
+  // Pages of a read that is not complete yet.
   std::map<std::string, table_row> incoming_;
   std::string from_key_;
-  bool has_copy_ = false;
-  revision version_;
-  revision last_change_;
   std::function<void(const table_changes&)> on_changes_;
   // Whether it is this node's part to poll, and whether a poll is pending.
   bool polls_ = true;
--- /dev/null
+++ b/packages/gateway/tests/table_copy_test.cc
@@ -0,0 +1,102 @@
+#include "table_copy.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace jasminepath::gateway {
+namespace {
+
+table_row Row(const char* key, const char* value, int64_t version) {
+  return {key, value, revision(version), false};
+}
+
+table_row Removal(const char* key, int64_t version) {
+  return {key, "", revision(version), true};
+}
+
+std::map<std::string, table_row> Rows(const std::vector<table_row>& rows) {
+  std::map<std::string, table_row> by_key;
+  for (const table_row& row : rows)
+    by_key[row.key] = row;
+  return by_key;
+}
+
+// A reader and a peer that both know rows a and b as of version 10.
+struct copies_fixture {
+  copies_fixture() : reader("t"), peer("t") {
+    const auto rows = Rows({Row("a", "1", 8), Row("b", "1", 9)});
+    reader.TakeRead(rows, revision(10));
+    peer.TakeRead(rows, revision(10));
+  }
+  table_copy reader;
+  table_copy peer;
+};
+
+BOOST_FIXTURE_TEST_CASE(PeersGetOnlyWhatTheyLack, copies_fixture) {
+  reader.TakePolled({Row("c", "1", 11), Removal("a", 12), Row("b", "2", 13)},
+                    revision(14));
+  // The peer has heard of the first change only.
+  reader.TakePolled({}, revision(15));
+  peer.TakePolled({Row("c", "1", 11)}, revision(11));
+  const table_changes changes = reader.ChangesSince(peer.last_change());
+  BOOST_TEST(!changes.whole);
+  BOOST_TEST(changes.rows.size() == 2U);
+  BOOST_TEST((peer.Take(changes) == table_copy::outcome::changed));
+  BOOST_TEST((peer.rows() == reader.rows()));
+  BOOST_TEST((peer.last_change() == revision(13)));
+  BOOST_TEST((peer.version() == revision(15)));
+}
+
+BOOST_FIXTURE_TEST_CASE(NewPeersGetTheWholeCopy, copies_fixture) {
+  reader.TakePolled({Removal("a", 12)}, revision(12));
+  table_copy fresh("t");
+  const table_changes changes = reader.ChangesSince(fresh.last_change());
+  BOOST_TEST(changes.whole);
+  BOOST_TEST((fresh.Take(changes) == table_copy::outcome::changed));
+  BOOST_TEST(fresh.exists());
+  BOOST_TEST((fresh.rows() == reader.rows()));
+}
+
+// A row that was removed before the reader's copy began would stay at a peer
+// that knows only older changes.
+BOOST_FIXTURE_TEST_CASE(RemovalsBeforeTheHistoryNeedTheWholeCopy,
+                        copies_fixture) {
+  table_copy late("t");
+  late.TakeRead(Rows({Row("b", "1", 9)}), revision(20));
+  const table_changes changes = late.ChangesSince(peer.last_change());
+  BOOST_TEST(changes.whole);
+}
+
+BOOST_FIXTURE_TEST_CASE(CopiesNeverGoBack, copies_fixture) {
+  const table_changes old = reader.ChangesSince(revision(0));
+  peer.TakePolled({Row("a", "2", 11)}, revision(11));
+  BOOST_TEST((peer.Take(old) == table_copy::outcome::unchanged));
+  BOOST_TEST(!peer.TakeRead(Rows({Row("a", "1", 8)}), revision(10)));
+  BOOST_TEST(peer.rows().at("a").value == "2");
+}
+
+BOOST_FIXTURE_TEST_CASE(GapsHaveToBeFetched, copies_fixture) {
+  reader.TakePolled({Row("c", "1", 11)}, revision(11));
+  table_changes changes;
+  changes.table = "t";
+  changes.previous_change = 11;
+  changes.last_change = changes.complete_to = 12;
+  changes.rows = {{"d", "1", 12, false}};
+  BOOST_TEST(
+      (peer.Take(changes) == table_copy::outcome::lacks_earlier_changes));
+  BOOST_TEST((reader.Take(changes) == table_copy::outcome::changed));
+}
+
+BOOST_FIXTURE_TEST_CASE(ForgottenRemovalsNeedTheWholeCopy, copies_fixture) {
+  std::vector<table_row> changes;
+  for (int64_t i = 0; i < 1000; ++i) {
+    const std::string key = "k" + std::to_string(i);
+    changes.push_back(Row(key.c_str(), "1", 20 + 2 * i));
+    changes.push_back(Removal(key.c_str(), 21 + 2 * i));
+  }
+  reader.TakePolled(changes, revision(5000));
+  BOOST_TEST(reader.ChangesSince(peer.last_change()).whole);
+  BOOST_TEST(!reader.ChangesSince(revision(2000)).whole);
+}
+
+}  // namespace
+}  // namespace jasminepath::gateway
