Count replicas, loads and running requests once a plan

Looking up adapters of a model also left an empty entry at every engine. Change: one pass counts replicas, loads under way and running requests; what an order changes is counted again for its model alone. Decisions are as before: all planner tests pass unchanged.

--- a/packages/gateway/include/jasminepath/gateway/placement_planner.h
+++ b/packages/gateway/include/jasminepath/gateway/placement_planner.h
@@ -92,6 +92,8 @@
     // Loaded once there is room for it.
     std::optional<model_id> intent;
     time_point intent_until{};
+    // Running requests over all nodes, as of the last plan.
+    std::map<model_id, int64_t> running;
     time_point asked_at{};
     time_point distrusted_until{};
     bool unreachable = false;
@@ -103,6 +105,10 @@
     time_point rate_at{};
     int64_t waiting = 0;
     int64_t running = 0;
+    // Usable engines that hold it and do not drop it, and whether another one
+    // is to load it.
+    int64_t replicas = 0;
+    bool on_the_way = false;
     // When the nodes were last told how long a load will take.
     time_point estimated_at{};
   };
@@ -128,8 +134,15 @@
   // Whether the engine can be given an order now.
   bool Idle(const engine_state& engine, time_point now) const;
   bool Resident(const engine_state& engine, const model_id& model) const;
+  bool Closing(const engine_state& engine, const model_id& model) const;
+  bool Loading(const engine_state& engine, const model_id& model) const;
   bool OnTheWay(const model_id& model) const;
   int64_t ReplicaCount(const model_id& model) const;
+  // Counts the replicas of all models, and those of one that has changed.
+  void CountReplicas();
+  void CountReplicasOf(const model_id& model);
+  void SetIntent(engine_state& engine, const model_id& model, time_point until);
+  void DropIntent(engine_state& engine);
   int64_t RunningOn(const engine_state& engine) const;
   int64_t RunningOn(const engine_state& engine, const model_id& model) const;
   double RateOf(const model_id& model, time_point now) const;
@@ -138,7 +151,7 @@
                    time_point now) const;
   duration LoadTime(const engine_state& engine, const model_spec& spec) const;
   bool FromStore(const engine_state& engine, const model_id& model) const;
-  int64_t StoreLoads() const;
+  int64_t CountStoreLoads() const;
   bool StoreHasRoom() const;
   void Refill(time_point now);
   void ApplyState(engine_state& engine,
@@ -152,6 +165,7 @@
                   time_point now);
   void NoteStoreLoad(const pending_order& order, time_point now);
   void CountDemand(time_point now);
+  void CountRunning();
   // The least valuable resident of the engine, and what it is worth.
   std::optional<std::pair<model_id, double>> Victim(const engine_state& engine,
                                                     const model_id& incoming,
@@ -194,6 +208,9 @@
   std::vector<load_notice> notices_;
   // Loads from the weight store that it seems to serve at full speed at once.
   int64_t store_parallel_;
+  // Loads from the weight store under way, and those that begin once there is
+  // room for them.
+  int64_t store_loads_ = 0;
   // Loads from the weight store that may begin now.
   double store_tokens_ = 0;
   time_point store_filled_at_{};
--- a/packages/gateway/src/placement_planner.cc
+++ b/packages/gateway/src/placement_planner.cc
@@ -87,28 +87,78 @@
   return used;
 }
 
+bool placement_planner::Closing(const engine_state& engine,
+                                const model_id& model) const {
+  return engine.pending && engine.pending->order.kind == order_kind::unload &&
+         engine.pending->order.adapter.empty() &&
+         engine.pending->order.model == model;
+}
+
+bool placement_planner::Loading(const engine_state& engine,
+                                const model_id& model) const {
+  if (engine.intent == model)
+    return true;
+  return engine.pending && engine.pending->order.kind == order_kind::load &&
+         engine.pending->order.adapter.empty() &&
+         engine.pending->order.model == model;
+}
+
 bool placement_planner::OnTheWay(const model_id& model) const {
-  return std::any_of(engines_.begin(), engines_.end(), [&](const auto& item) {
-    const engine_state& engine = item.second;
-    if (!Usable(engine))
-      return false;
-    if (engine.intent == model)
-      return true;
-    return engine.pending && engine.pending->order.kind == order_kind::load &&
-           engine.pending->order.adapter.empty() &&
-           engine.pending->order.model == model;
-  });
+  const auto found = models_.find(model);
+  return found != models_.end() && found->second.on_the_way;
 }
 
 int64_t placement_planner::ReplicaCount(const model_id& model) const {
-  return std::count_if(engines_.begin(), engines_.end(), [&](const auto& item) {
-    const engine_state& engine = item.second;
-    const bool closing = engine.pending &&
-                         engine.pending->order.kind == order_kind::unload &&
-                         engine.pending->order.adapter.empty() &&
-                         engine.pending->order.model == model;
-    return Usable(engine) && Resident(engine, model) && !closing;
-  });
+  const auto found = models_.find(model);
+  return found == models_.end() ? 0 : found->second.replicas;
+}
+
+void placement_planner::CountReplicas() {
+  for (auto& [id, model] : models_) {
+    model.replicas = 0;
+    model.on_the_way = false;
+  }
+  for (const auto& [id, engine] : engines_) {
+    if (!Usable(engine))
+      continue;
+    for (const model_id& model : engine.residents) {
+      if (!Closing(engine, model))
+        ++models_[model].replicas;
+    }
+    if (engine.intent)
+      models_[*engine.intent].on_the_way = true;
+    if (engine.pending && Loading(engine, engine.pending->order.model))
+      models_[engine.pending->order.model].on_the_way = true;
+  }
+  store_loads_ = CountStoreLoads();
+}
+
+void placement_planner::CountReplicasOf(const model_id& model) {
+  model_state& state = models_[model];
+  state.replicas = 0;
+  state.on_the_way = false;
+  for (const auto& [id, engine] : engines_) {
+    if (!Usable(engine))
+      continue;
+    if (Resident(engine, model) && !Closing(engine, model))
+      ++state.replicas;
+    state.on_the_way = state.on_the_way || Loading(engine, model);
+  }
+  store_loads_ = CountStoreLoads();
+}
+
+void placement_planner::SetIntent(engine_state& engine,
+                                  const model_id& model,
+                                  time_point until) {
+  engine.intent = model;
+  engine.intent_until = until;
+  CountReplicasOf(model);
+}
+
+void placement_planner::DropIntent(engine_state& engine) {
+  const model_id model = *engine.intent;
+  engine.intent.reset();
+  CountReplicasOf(model);
 }
 
 bool placement_planner::FromStore(const engine_state& engine,
@@ -153,9 +203,7 @@
       std::min(store_tokens_ + elapsed * spec_.loads_per_second, kStoreBurst);
 }
 
-// Loads from the weight store under way, and those that begin once there is
-// room for them.
-int64_t placement_planner::StoreLoads() const {
+int64_t placement_planner::CountStoreLoads() const {
   return std::count_if(engines_.begin(), engines_.end(), [&](const auto& item) {
     const engine_state& engine = item.second;
     if (engine.intent)
@@ -165,12 +213,13 @@
 }
 
 bool placement_planner::StoreHasRoom() const {
-  return store_tokens_ >= 1.0 && StoreLoads() < store_parallel_;
+  return store_tokens_ >= 1.0 && store_loads_ < store_parallel_;
 }
 
 std::vector<engine_order> placement_planner::Plan(time_point now) {
   Refill(now);
   CountDemand(now);
+  CountReplicas();
   std::vector<engine_order> orders;
   ContinueIntents(now, orders);
   PlaceAdapters(now, orders);
@@ -189,18 +238,18 @@
     const model_spec* spec = Spec(model);
     if (!Usable(engine) || spec == nullptr || now > engine.intent_until ||
         Resident(engine, model)) {
-      engine.intent.reset();
+      DropIntent(engine);
       continue;
     }
     if (UsedMemory(engine) + spec->weight_mb <= spec_.weight_mb) {
       if (FromStore(engine, model) && store_tokens_ < 1.0)
         continue;
-      engine.intent.reset();
+      DropIntent(engine);
       Give(engine, order_kind::load, model, {}, now, orders);
     } else if (const auto victim = Victim(engine, model, now)) {
       Give(engine, order_kind::unload, victim->first, {}, now, orders);
     } else {
-      engine.intent.reset();
+      DropIntent(engine);
     }
   }
 }
@@ -258,8 +307,7 @@
     Give(*best, order_kind::load, model, {}, now, orders);
     return true;
   }
-  best->intent = model;
-  best->intent_until = now + kIntentPatience;
+  SetIntent(*best, model, now + kIntentPatience);
   Give(*best, order_kind::unload, Victim(*best, model, now)->first, {}, now,
        orders);
   return true;
@@ -294,7 +342,7 @@
         return Usable(item.second) && !FromStore(item.second, model);
       });
   // A copy has to wait for its engine; without one, for its turn at the store.
-  const int64_t rounds = (StoreLoads() + queued) / store_parallel_ + 1;
+  const int64_t rounds = (store_loads_ + queued) / store_parallel_ + 1;
   const duration time = copied ? spec->disk_load : spec->store_load * rounds;
   load_notice notice;
   notice.model = model;
@@ -326,7 +374,7 @@
   if (anybody_waits)
     return;
   for (const model_spec& spec : spec_.models) {
-    if (StoreLoads() >= kCopyLoadsAtOnce || !StoreHasRoom())
+    if (store_loads_ >= kCopyLoadsAtOnce || !StoreHasRoom())
       return;
     const bool somewhere =
         std::any_of(engines_.begin(), engines_.end(), [&](const auto& item) {
@@ -433,6 +481,7 @@
   }
   orders.push_back(pending.order);
   engine.pending = std::move(pending);
+  CountReplicasOf(model);
 }
 
 void placement_planner::Announce(const engine_state& engine,
--- a/packages/gateway/src/placement_planner_state.cc
+++ b/packages/gateway/src/placement_planner_state.cc
@@ -40,20 +40,15 @@
 
 int64_t placement_planner::RunningOn(const engine_state& engine) const {
   int64_t running = 0;
-  for (const model_id& model : engine.residents)
-    running += RunningOn(engine, model);
+  for (const auto& [model, count] : engine.running)
+    running += count;
   return running;
 }
 
 int64_t placement_planner::RunningOn(const engine_state& engine,
                                      const model_id& model) const {
-  int64_t running = 0;
-  for (const auto& [node, report] : nodes_) {
-    const auto found = report.running.find({engine.entry.id, model});
-    if (found != report.running.end())
-      running += found->second;
-  }
-  return running;
+  const auto found = engine.running.find(model);
+  return found == engine.running.end() ? 0 : found->second;
 }
 
 double placement_planner::RateOf(const model_id& model, time_point now) const {
@@ -263,7 +258,10 @@
     if (use.adapter.empty())
       continue;
     for (auto& [id, engine] : engines_) {
-      for (adapter_state& adapter : engine.adapters[use.model]) {
+      const auto held = engine.adapters.find(use.model);
+      if (held == engine.adapters.end())
+        continue;
+      for (adapter_state& adapter : held->second) {
         if (adapter.adapter == use.adapter)
           adapter.last_used = now;
       }
@@ -311,9 +309,20 @@
       for_adapter = std::max(for_adapter, want.waiting);
     }
   }
-  for (const auto& [id, engine] : engines_) {
-    for (const model_id& model : engine.residents)
-      models_[model].running += RunningOn(engine, model);
+  CountRunning();
+}
+
+void placement_planner::CountRunning() {
+  for (auto& [id, engine] : engines_)
+    engine.running.clear();
+  for (const auto& [node, report] : nodes_) {
+    for (const auto& [place, count] : report.running) {
+      const auto engine = engines_.find(place.first);
+      if (engine == engines_.end())
+        continue;
+      engine->second.running[place.second] += count;
+      models_[place.second].running += count;
+    }
   }
 }
 
