Spread facts along a tree of the zone's nodes, compressed; few candidates for the lease

Cause: after the digests had shrunk, the reader of a zone still filled its link of 10 Mbit/s: up to 120 entries of engines change a second there, each sent to 22 nodes, and a change of the configuration (51 KB) or 70 entries after an outage were fetched by all of them from that one node (connections timed out, engines counted as unreachable, one request LOST on a closing connection whose end arrived 0.9 s late). All 91 nodes read the lease's row three times a second whenever the holder was not heard. Ruled out: wants to the holder (about 40 a second of 1 KB). Change: what is spread in a zone goes to four nodes, which pass it on by rank; rows travel deflated; the first node of each zone alone watches the lease; lists of endpoints are polled four times a second at most; nothing is polled before peers have been heard. The log says when the caller got the first byte, and the longest pause.

--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -144,11 +144,22 @@
 
 using peer_message = std::variant<peer_digest, load_notice, table_changes>;
 
+// A message as it travels.
+struct peer_envelope {
+  peer_message message;
+  // The node that began to spread it in its zone, whose receivers pass it on;
+  // empty if it was sent to them alone.
+  vm_id spread_by;
+
+  friend bool operator==(const peer_envelope&, const peer_envelope&) = default;
+};
+
 // Bytes of one datagram.
-std::string EncodePeerMessage(const peer_message& message);
+std::string EncodePeerMessage(const peer_message& message,
+                              const vm_id& spread_by = {});
 
 // Reads what EncodePeerMessage() wrote; nothing if it is no such message.
-std::optional<peer_message> DecodePeerMessage(std::string_view bytes);
+std::optional<peer_envelope> DecodePeerMessage(std::string_view bytes);
 
 }  // namespace jasminepath::gateway
 
--- a/packages/gateway/include/jasminepath/gateway/placement_lease.h
+++ b/packages/gateway/include/jasminepath/gateway/placement_lease.h
@@ -55,6 +55,10 @@
 
   placement_lease(vm_id self, uint64_t incarnation, const terms& limits);
 
+  // Whether this node watches the row and takes it when it is free. A node that
+  // holds it keeps it in any case.
+  void SetCandidate(bool candidate) { candidate_ = candidate; }
+
   // What to do now; after it, one of the On...() functions tells the outcome.
   lease_step Next(time_point now);
 
@@ -91,6 +95,7 @@
   terms terms_;
   authority_row row_;
   revision version_;
+  bool candidate_ = true;
   bool known_ = false;
   bool held_ = false;
   bool in_flight_ = false;
--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -159,7 +159,15 @@
 }
 
 void call_session::RecordFirstByte() {
-  context_.metrics.RecordFirstByte(service_, boot_clock::now() - arrived_at_);
+  relayed_at_ = boot_clock::now();
+  first_byte_after_ = relayed_at_ - arrived_at_;
+  context_.metrics.RecordFirstByte(service_, *first_byte_after_);
+}
+
+void call_session::RecordPause() {
+  const time_point now = boot_clock::now();
+  longest_pause_ = std::max(longest_pause_, now - relayed_at_);
+  relayed_at_ = now;
 }
 
 endpoint_query call_session::Query() const {
@@ -360,6 +368,7 @@
     RecordFirstByte();
     reply_->Start(WithoutConnectionFields(attempt_->head));
   }
+  RecordPause();
   reply_->Write(piece);
   if (reply_->unsent_bytes() < kMostUnsentBytes || !call_)
     return;
@@ -559,6 +568,9 @@
        {"site_version", site_ ? site_->version() : 0},
        {"tokens", charged_},
        {"sends", sends_},
+       {"first_byte_ms",
+        first_byte_after_ ? ToMilliseconds(*first_byte_after_) : -1},
+       {"longest_pause_ms", ToMilliseconds(longest_pause_)},
        {"age_ms", ToMilliseconds(boot_clock::now() - arrived_at_)}});
 }
 
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -50,6 +50,7 @@
   // The model that the endpoint has to hold; empty for a plain service.
   model_id NeededModel() const;
   void RecordFirstByte();
+  void RecordPause();
 
   void Dispatch();
   void WaitForEndpoint(pick_miss miss);
@@ -109,6 +110,10 @@
   // Some attempt may have run the request.
   bool may_have_run_ = false;
   bool answer_started_ = false;
+  // When the caller got the last piece of the answer, and its longest pause.
+  time_point relayed_at_{};
+  duration longest_pause_{};
+  std::optional<duration> first_byte_after_;
   bool queued_ = false;
   bool queued_for_load_ = false;
   bool ended_ = false;
--- /dev/null
+++ b/packages/gateway/src/deflate.cc
@@ -0,0 +1,48 @@
+#include "deflate.h"
+
+#include <Poco/DeflatingStream.h>
+#include <Poco/Exception.h>
+#include <Poco/InflatingStream.h>
+#include <Poco/MemoryStream.h>
+
+#include <array>
+#include <sstream>
+
+namespace jasminepath::gateway {
+namespace {
+
+// Speed matters more than size on machines with a tenth of a core.
+constexpr int kLevel = 1;
+constexpr std::size_t kReadBytes = 4096;
+
+}  // namespace
+
+std::string Deflate(std::string_view bytes) {
+  std::ostringstream out;
+  Poco::DeflatingOutputStream deflating(
+      out, Poco::DeflatingStreamBuf::STREAM_ZLIB, kLevel);
+  deflating.write(bytes.data(), static_cast<std::streamsize>(bytes.size()));
+  deflating.close();
+  return out.str();
+}
+
+std::optional<std::string> Inflate(std::string_view bytes,
+                                   std::size_t most_bytes) {
+  Poco::MemoryInputStream in(bytes.data(),
+                             static_cast<std::streamsize>(bytes.size()));
+  Poco::InflatingInputStream inflating(in);
+  std::string out;
+  std::array<char, kReadBytes> piece;
+  while (inflating.good()) {
+    inflating.read(piece.data(), piece.size());
+    out.append(piece.data(), static_cast<std::size_t>(inflating.gcount()));
+    if (out.size() > most_bytes)
+      return std::nullopt;
+  }
+  // A stream that ends early or holds no such data turns bad.
+  if (inflating.bad() || out.empty())
+    return std::nullopt;
+  return out;
+}
+
+}  // namespace jasminepath::gateway
--- a/packages/gateway/src/fact_relay.cc
+++ b/packages/gateway/src/fact_relay.cc
@@ -66,9 +66,9 @@
                {{"peer", peer.value()}, {"table", table.copy().table()}});
     return;
   }
-  const auto message = DecodePeerMessage(answer->body);
+  const auto envelope = DecodePeerMessage(answer->body);
   const auto* changes =
-      message ? std::get_if<table_changes>(&*message) : nullptr;
+      envelope ? std::get_if<table_changes>(&envelope->message) : nullptr;
   if (changes == nullptr || changes->table != table.copy().table()) {
     log_.Write(report::log_level::warning, "facts_unreadable",
                {{"peer", peer.value()}, {"table", table.copy().table()}});
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -24,9 +24,17 @@
 // the configuration.
 constexpr int64_t kEndpointReaders = 1;
 constexpr int64_t kSiteReaders = 2;
-// Bytes of rows that go into one datagram; larger changes are fetched over a
-// connection.
-constexpr std::size_t kMostDatagramRows = 8192;
+// Nodes of a zone that watch the placement lease and may take it.
+constexpr int64_t kPlacementCandidates = 1;
+// Pauses between two polls: the list of endpoints changes all the time, the
+// configuration has to be in force soon.
+constexpr duration kEndpointPollSpacing = Milliseconds(250);
+constexpr duration kSitePollSpacing = Milliseconds(120);
+// Time after the start in which peers send their first digests, so that not
+// every new node takes itself for the first of its zone.
+constexpr duration kSettling = Milliseconds(600);
+// Bytes of a datagram; larger changes are fetched over a connection.
+constexpr std::size_t kMostDatagramBytes = 8192;
 // Interval of digests; one is sent at once when a call begins to wait for a
 // model.
 constexpr duration kDigestInterval = Milliseconds(300);
@@ -79,11 +87,13 @@
       site_rows_(loop_,
                  store_,
                  speech_.configuration_table(),
+                 kSitePollSpacing,
                  random_,
                  [this] { OnSiteRows(); }),
       endpoint_rows_(loop_,
                      store_,
                      speech_.endpoint_table(),
+                     kEndpointPollSpacing,
                      random_,
                      [this] { OnEndpointRows(); }),
       orders_(loop_,
@@ -155,6 +165,7 @@
     signals_.add(number, ignored);
   std::signal(SIGPIPE, SIG_IGN);
   WatchSignals();
+  started_at_ = boot_clock::now();
   site_rows_.Start();
   endpoint_rows_.Start();
   Register();
@@ -354,7 +365,7 @@
   const auto* digest = std::get_if<peer_digest>(&message);
   // What comes from another zone is passed on to this one.
   if (from_other_zone && peers_.IsSpeaker(now))
-    peers_.SendToZone(digest != nullptr ? WithoutDemand(*digest) : message);
+    peers_.SpreadInZone(digest != nullptr ? WithoutDemand(*digest) : message);
   if (digest != nullptr)
     return OnDigest(*digest, from_other_zone);
   if (const auto* changes = std::get_if<table_changes>(&message)) {
@@ -400,12 +411,9 @@
 void gateway_node::TellZoneOfChanges(const table_changes& changes) {
   table_changes message = changes;
   message.facts_address = settings_.metrics_address();
-  std::size_t size = 0;
-  for (const changed_row& row : message.rows)
-    size += row.key.size() + row.value.size();
-  if (size > kMostDatagramRows)
+  if (EncodePeerMessage(message).size() > kMostDatagramBytes)
     message.rows.clear();
-  peers_.SendToZone(message);
+  peers_.SpreadInZone(message);
 }
 
 void gateway_node::OnPeerGone(const vm_id& node) {
@@ -418,7 +426,7 @@
 // What this node decides about placement concerns itself as well.
 void gateway_node::OnNotice(const load_notice& notice) {
   const time_point now = boot_clock::now();
-  peers_.SendToZone(notice);
+  peers_.SpreadInZone(notice);
   peers_.SendToOtherZones(notice, now);
   endpoints_.OnNotice(notice, now);
   if (notice.change == load_change::loading)
@@ -497,11 +505,12 @@
 void gateway_node::Tick() {
   const time_point now = boot_clock::now();
   peers_.Check(now);
-  // One node of each zone reads the list of endpoints for the others, and two
-  // read the configuration, which has to be in force soon.
+  // Few nodes of each zone read the store's tables for the others.
   const int64_t rank = peers_.RankInZone(now);
-  endpoint_rows_.SetPolling(rank < kEndpointReaders);
-  site_rows_.SetPolling(rank < kSiteReaders);
+  const bool settled = now - started_at_ > kSettling;
+  endpoint_rows_.SetPolling(settled && rank < kEndpointReaders);
+  site_rows_.SetPolling(settled && rank < kSiteReaders);
+  orders_.SetCandidate(settled && rank < kPlacementCandidates);
   if (peers_known_)
     limiter_.SetNodeCount(peers_.node_count());
   retries_.SetNodes(peers_.node_count());
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -98,6 +98,7 @@
   uint64_t sequence_ = 0;
   // The registered nodes have been read.
   bool peers_known_ = false;
+  time_point started_at_{};
   bool was_ready_ = false;
   bool stopping_ = false;
   time_point stop_began_{};
--- a/packages/gateway/src/order_desk.h
+++ b/packages/gateway/src/order_desk.h
@@ -47,6 +47,8 @@
   // The process ends: gives the lease up.
   void BeginStop(time_point now);
 
+  // Whether this node may become the one that places models.
+  void SetCandidate(bool candidate) { lease_.SetCandidate(candidate); }
   bool holds(time_point now) const { return lease_.Holds(now); }
   const placement_lease& lease() const { return lease_; }
   int64_t orders() const { return orders_; }
--- a/packages/gateway/src/peer_digest.cc
+++ b/packages/gateway/src/peer_digest.cc
@@ -7,11 +7,15 @@
 #include <map>
 #include <utility>
 
+#include "deflate.h"
+
 namespace jasminepath::gateway {
 namespace {
 
 // Format of the messages; another one is not read.
-constexpr uint32_t kFormat = 2;
+constexpr uint32_t kFormat = 3;
+// Largest table that is read from a peer.
+constexpr std::size_t kMostTableBytes = std::size_t{16} << 20;
 
 // Calls `visit` with each field, in the order in which they are sent.
 template <typename Message, typename Visitor>
@@ -132,12 +136,23 @@
 }
 
 template <typename Message>
-peer_message UnpackMessage(const msgpack::object& from) {
+peer_message UnpackMessage(const std::string& content) {
+  const auto handle = msgpack::unpack(content.data(), content.size());
   Message message;
-  Unpack(from, message);
+  Unpack(handle.get(), message);
   return message;
 }
 
+std::string PackContent(const peer_message& message) {
+  msgpack::sbuffer buffer;
+  packer out(buffer);
+  std::visit([&out](const auto& content) { Pack(out, content); }, message);
+  std::string bytes(buffer.data(), buffer.size());
+  // Rows are text with few different words.
+  return std::holds_alternative<table_changes>(message) ? Deflate(bytes)
+                                                        : bytes;
+}
+
 }  // namespace
 
 peer_digest WithoutDemand(const peer_digest& digest) {
@@ -154,32 +169,41 @@
   return brief;
 }
 
-std::string EncodePeerMessage(const peer_message& message) {
+std::string EncodePeerMessage(const peer_message& message,
+                              const vm_id& spread_by) {
+  const std::string content = PackContent(message);
   msgpack::sbuffer buffer;
   packer out(buffer);
-  out.pack_array(3);
+  out.pack_array(4);
   out.pack(kFormat);
   out.pack(static_cast<uint32_t>(message.index()));
-  std::visit([&out](const auto& content) { Pack(out, content); }, message);
+  out.pack(spread_by.value());
+  out.pack_bin(static_cast<uint32_t>(content.size()));
+  out.pack_bin_body(content.data(), static_cast<uint32_t>(content.size()));
   return {buffer.data(), buffer.size()};
 }
 
-std::optional<peer_message> DecodePeerMessage(std::string_view bytes) {
+std::optional<peer_envelope> DecodePeerMessage(std::string_view bytes) {
   try {
     const auto handle = msgpack::unpack(bytes.data(), bytes.size());
     const msgpack::object& root = handle.get();
-    if (root.type != msgpack::type::ARRAY || root.via.array.size != 3 ||
+    if (root.type != msgpack::type::ARRAY || root.via.array.size != 4 ||
         root.via.array.ptr[0].as<uint32_t>() != kFormat)
       return std::nullopt;
-    const msgpack::object& content = root.via.array.ptr[2];
+    const vm_id spread_by(root.via.array.ptr[2].as<std::string>());
+    const auto content = root.via.array.ptr[3].as<std::string>();
     // The kinds are numbered as in peer_message.
     switch (root.via.array.ptr[1].as<uint32_t>()) {
       case 0:
-        return UnpackMessage<peer_digest>(content);
+        return peer_envelope{UnpackMessage<peer_digest>(content), spread_by};
       case 1:
-        return UnpackMessage<load_notice>(content);
-      case 2:
-        return UnpackMessage<table_changes>(content);
+        return peer_envelope{UnpackMessage<load_notice>(content), spread_by};
+      case 2: {
+        const auto rows = Inflate(content, kMostTableBytes);
+        if (!rows)
+          return std::nullopt;
+        return peer_envelope{UnpackMessage<table_changes>(*rows), spread_by};
+      }
       default:
         return std::nullopt;
     }
--- a/packages/gateway/src/peer_group.cc
+++ b/packages/gateway/src/peer_group.cc
@@ -21,6 +21,8 @@
 constexpr duration kGoneAfter = Seconds(20);
 // Time that a registered node has to be heard for the first time.
 constexpr duration kUnheardAfter = Seconds(5);
+// Nodes to which each node passes on what is spread in a zone.
+constexpr std::size_t kSpreadFanout = 4;
 // Nodes of a zone without a known speaker that are tried at a time.
 constexpr std::size_t kSpeakersTried = 3;
 
@@ -70,37 +72,48 @@
 }
 
 void peer_group::OnDatagram(std::size_t length) {
-  const auto message =
-      DecodePeerMessage(std::string_view(buffer_.data(), length));
-  if (!message) {
-    ++unreadable_;
-    // At powers of two only, so that a flood does not fill the log.
-    if (std::has_single_bit(static_cast<uint64_t>(unreadable_)))
-      log_.Write(
-          report::log_level::warning, "datagram_unreadable",
-          {{"sender", sender_.address().to_string()}, {"count", unreadable_}});
-    return;
-  }
-  const std::optional<bool> elsewhere = SenderIsElsewhere();
+  const std::string bytes(buffer_.data(), length);
+  const auto envelope = DecodePeerMessage(bytes);
+  if (!envelope)
+    return NoteUnreadable();
+  const peer_message& message = envelope->message;
+  const bool is_spread = !envelope->spread_by.empty();
+  // What is spread in the zone comes from a node of it.
+  const std::optional<bool> elsewhere =
+      is_spread ? std::optional(false) : SenderIsElsewhere();
   bool from_other_zone = elsewhere.value_or(false);
-  if (const auto* digest = std::get_if<peer_digest>(&*message)) {
+  if (const auto* digest = std::get_if<peer_digest>(&message)) {
     if (digest->node == self_ || digest->node.empty())
       return;
-    const bool other = digest->zone != zone_;
-    from_other_zone = other && elsewhere.value_or(true);
-    const time_point now = boot_clock::now();
-    if (!digest->whole_zone) {
-      NoteNode(*digest, now);
-    } else if (other) {
-      zone_speaker& speaker = speakers_[digest->zone];
-      if (from_other_zone)
-        speaker.address = sender_;
-      speaker.heard_at = now;
-      speaker.nodes = digest->nodes;
-    }
+    from_other_zone = digest->zone != zone_ && elsewhere.value_or(true);
+    NoteDigest(*digest, from_other_zone);
   }
+  if (is_spread && envelope->spread_by != self_)
+    PassOn(envelope->spread_by, bytes);
   if (on_message_)
-    on_message_(*message, from_other_zone);
+    on_message_(message, from_other_zone);
+}
+
+void peer_group::NoteUnreadable() {
+  ++unreadable_;
+  // At powers of two only, so that a flood does not fill the log.
+  if (std::has_single_bit(static_cast<uint64_t>(unreadable_)))
+    log_.Write(
+        report::log_level::warning, "datagram_unreadable",
+        {{"sender", sender_.address().to_string()}, {"count", unreadable_}});
+}
+
+void peer_group::NoteDigest(const peer_digest& digest, bool from_other_zone) {
+  const time_point now = boot_clock::now();
+  if (!digest.whole_zone)
+    return NoteNode(digest, now);
+  if (digest.zone == zone_)
+    return;
+  zone_speaker& speaker = speakers_[digest.zone];
+  if (from_other_zone)
+    speaker.address = sender_;
+  speaker.heard_at = now;
+  speaker.nodes = digest.nodes;
 }
 
 std::optional<bool> peer_group::SenderIsElsewhere() const {
@@ -153,14 +166,46 @@
   socket_.send_to(boost::asio::buffer(bytes), address, 0, ignored);
 }
 
-void peer_group::SendToZone(const peer_message& message) {
-  const std::string bytes = EncodePeerMessage(message);
+std::vector<std::pair<uint64_t, udp::endpoint>> peer_group::SpreadOrder(
+    const vm_id& origin) const {
+  std::vector<std::pair<uint64_t, udp::endpoint>> order;
+  for (const auto& [node, peer] : peers_) {
+    if (peer.zone == zone_ && peer.heard_at != time_point{} && !peer.silent &&
+        node != origin)
+      order.emplace_back(RankOf(node), peer.address);
+  }
+  std::sort(order.begin(), order.end());
+  return order;
+}
+
+void peer_group::SpreadInZone(const peer_message& message) {
+  const std::string bytes = EncodePeerMessage(message, self_);
+  const auto order = SpreadOrder(self_);
+  for (std::size_t i = 0; i < std::min(order.size(), kSpreadFanout); ++i)
+    SendBytes(bytes, order[i].second);
+  // Those that have not been heard yet may not be known to the others either.
   for (const auto& [node, peer] : peers_) {
-    if (peer.zone == zone_)
+    if (peer.zone == zone_ && peer.heard_at == time_point{})
       SendBytes(bytes, peer.address);
   }
 }
 
+// The nodes in the order of their ranks form a tree, in which each has
+// kSpreadFanout children of higher ranks; so nothing goes round in circles,
+// even while nodes disagree on who is there.
+void peer_group::PassOn(const vm_id& origin, const std::string& bytes) {
+  const auto order = SpreadOrder(origin);
+  const uint64_t own = RankOf(self_);
+  const auto place = static_cast<std::size_t>(
+      std::count_if(order.begin(), order.end(),
+                    [own](const auto& item) { return item.first < own; }));
+  // This node is not in the order itself, but counts at its place.
+  const std::size_t first = kSpreadFanout * (place + 1) - 1;
+  const std::size_t last = std::min(first + kSpreadFanout, order.size());
+  for (std::size_t i = first; i < last; ++i)
+    SendBytes(bytes, order[i].second);
+}
+
 void peer_group::SendToZone(const peer_message& full,
                             const peer_message& brief,
                             const std::vector<vm_id>& needs_full) {
--- a/packages/gateway/src/peer_group.h
+++ b/packages/gateway/src/peer_group.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "jasminepath/base/result.h"
@@ -60,6 +61,9 @@
     on_gone_ = std::move(callback);
   }
 
+  // The port in use, for tests that bind to free ones.
+  unsigned short port() const { return socket_.local_endpoint().port(); }
+
   // A node that has registered itself.
   void Add(const vm_id& node,
            const zone_id& zone,
@@ -69,7 +73,9 @@
   // The name under which a zone's speaker reports.
   static vm_id NameOfZone(const zone_id& zone);
 
-  void SendToZone(const peer_message& message);
+  // Brings the message to all nodes of the zone: a few get it from this node
+  // and pass it on, so that no node's link carries it for the whole zone.
+  void SpreadInZone(const peer_message& message);
   // Sends `full` to the nodes of the zone that `needs_full` names and `brief`
   // to the others.
   void SendToZone(const peer_message& full,
@@ -103,7 +109,14 @@
   // Whether the last datagram came from a node that is known to be in another
   // zone; nothing if its sender is not known.
   std::optional<bool> SenderIsElsewhere() const;
+  void NoteUnreadable();
+  void NoteDigest(const peer_digest& digest, bool from_other_zone);
   void NoteNode(const peer_digest& digest, time_point now);
+  // Passes on what another node of the zone spreads.
+  void PassOn(const vm_id& origin, const std::string& bytes);
+  // The nodes of the zone that are heard, but for `origin`, by rank.
+  std::vector<std::pair<uint64_t, boost::asio::ip::udp::endpoint>> SpreadOrder(
+      const vm_id& origin) const;
   bool IsLive(const peer_state& peer, time_point now) const;
   void SendBytes(const std::string& bytes,
                  const boost::asio::ip::udp::endpoint& address);
--- a/packages/gateway/src/placement_lease.cc
+++ b/packages/gateway/src/placement_lease.cc
@@ -76,7 +76,7 @@
     if (releasing_)
       step.row.holder = vm_id();
     step.expected = version_;
-  } else if (releasing_) {
+  } else if (releasing_ || !candidate_) {
     return {};
   } else if (!known_ || must_read_) {
     step.what = lease_step::action::read;
--- a/packages/gateway/src/table_follower.cc
+++ b/packages/gateway/src/table_follower.cc
@@ -12,9 +12,6 @@
 // The same after a failed call, so that a store that has come back is noticed
 // soon.
 constexpr duration kProbeWait = Milliseconds(100);
-// Pause between two polls, so that changes in quick succession come in one
-// answer.
-constexpr duration kPollSpacing = Milliseconds(120);
 // First pause after a failed call; doubles up to the longest.
 constexpr duration kFirstRetry = Milliseconds(100);
 constexpr duration kLongestRetry = Milliseconds(800);
@@ -26,9 +23,11 @@
 table_follower::table_follower(http::event_loop& loop,
                                store_client& store,
                                std::string table,
+                               duration spacing,
                                random_engine& random,
                                std::function<void()> on_change)
     : store_(store),
+      spacing_(spacing),
       random_(random),
       on_change_(std::move(on_change)),
       timer_(loop),
@@ -106,7 +105,7 @@
       on_changes_(changes);
     on_change_();
   }
-  timer_.Start(kPollSpacing, [this] { Poll(); });
+  timer_.Start(spacing_, [this] { Poll(); });
 }
 
 bool table_follower::Take(const table_changes& changes) {
--- a/packages/gateway/src/table_follower.h
+++ b/packages/gateway/src/table_follower.h
@@ -21,10 +21,12 @@
 // the loop.
 class table_follower {
  public:
-  // `on_change` is called after each change of the copy.
+  // Leaves `spacing` between two polls, so that changes in quick succession
+  // come in one answer. `on_change` is called after each change of the copy.
   table_follower(http::event_loop& loop,
                  store_client& store,
                  std::string table,
+                 duration spacing,
                  random_engine& random,
                  std::function<void()> on_change);
 
@@ -56,6 +58,7 @@
   void Retry();
 
   store_client& store_;
+  duration spacing_;
   random_engine& random_;
   std::function<void()> on_change_;
   http::timer timer_;
--- a/packages/gateway/tests/gateway_parts_test.cc
+++ b/packages/gateway/tests/gateway_parts_test.cc
@@ -169,26 +169,6 @@
   BOOST_TEST(!suspects.IsBarred(7, At(500000)));
 }
 
-BOOST_AUTO_TEST_CASE(ReadsBackPeerMessages) {
-  peer_digest digest;
-  digest.node = vm_id("n");
-  digest.incarnation = 18446744073709551615ULL;
-  digest.teams = {{team_id("t"), 5}};
-  digest.endpoints = {{endpoint_id("e"), model_id("m"), 2}};
-  digest.models = {{model_id("m"), adapter_id("a"), 1, 9}};
-  digest.crashes = {{77, 2}};
-  digest.leaving = true;
-  const std::string bytes = EncodePeerMessage(digest);
-  BOOST_TEST((DecodePeerMessage(bytes) == peer_message(digest)));
-  load_notice notice;
-  notice.change = load_change::closing;
-  BOOST_TEST(
-      (DecodePeerMessage(EncodePeerMessage(notice)) == peer_message(notice)));
-  for (std::size_t length = 0; length < bytes.size(); ++length)
-    BOOST_TEST(!DecodePeerMessage(bytes.substr(0, length)));
-  BOOST_TEST(!DecodePeerMessage("nonsense"));
-}
-
 BOOST_AUTO_TEST_CASE(ChoosesTheLongestPrefixOfTheHost) {
   route wide;
   wide.name = "wide";
--- a/packages/gateway/tests/peer_digest_test.cc
+++ b/packages/gateway/tests/peer_digest_test.cc
@@ -34,11 +34,34 @@
 
 BOOST_AUTO_TEST_CASE(DigestsKeepEveryField) {
   const peer_digest digest = MakeFullDigest();
-  const auto decoded = DecodePeerMessage(EncodePeerMessage(digest));
-  BOOST_TEST_REQUIRE(decoded.has_value());
-  const auto* read = std::get_if<peer_digest>(&*decoded);
-  BOOST_TEST_REQUIRE(read != nullptr);
-  BOOST_TEST((*read == digest));
+  const auto read = DecodePeerMessage(EncodePeerMessage(digest, vm_id("n3")));
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST((*read == peer_envelope{digest, vm_id("n3")}));
+}
+
+// A list of 145 endpoints, or a configuration of 300 models, has to fit into
+// datagrams and links of 10 Mbit/s.
+BOOST_AUTO_TEST_CASE(RowsTravelCompressed) {
+  table_changes changes;
+  changes.table = "servers";
+  changes.whole = true;
+  changes.previous_change = 1;
+  changes.last_change = 2;
+  changes.complete_to = 3;
+  for (int64_t i = 0; i < 50; ++i) {
+    const std::string number = std::to_string(i * 7919);
+    changes.rows.push_back(
+        {"e" + number,
+         R"({"service":"assistant","address":"10.0.1.)" + number +
+             R"(:8100","zone":"z1","slots":64,"models":[{"name":"m)" + number +
+             R"(","version":1,"adapters":["a1","a2"]}]})",
+         i, false});
+  }
+  const std::string bytes = EncodePeerMessage(changes);
+  BOOST_TEST(bytes.size() < 2500U);
+  const auto read = DecodePeerMessage(bytes);
+  BOOST_TEST_REQUIRE(read.has_value());
+  BOOST_TEST((read->message == peer_message(changes)));
 }
 
 BOOST_AUTO_TEST_CASE(DigestsWithoutDemandKeepLoadAndRates) {
@@ -63,6 +86,32 @@
   std::string bytes = EncodePeerMessage(MakeFullDigest());
   bytes.resize(bytes.size() / 2);
   BOOST_TEST(!DecodePeerMessage(bytes).has_value());
+  // Compressed rows with a flipped bit.
+  table_changes changes;
+  changes.table = "servers";
+  std::string rows = EncodePeerMessage(changes);
+  rows.back() = static_cast<char>(rows.back() ^ 1);
+  BOOST_TEST(!DecodePeerMessage(rows).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ReadsBackPeerMessages) {
+  peer_digest digest;
+  digest.node = vm_id("n");
+  digest.incarnation = 18446744073709551615ULL;
+  digest.teams = {{team_id("t"), 5}};
+  digest.endpoints = {{endpoint_id("e"), model_id("m"), 2}};
+  digest.models = {{model_id("m"), adapter_id("a"), 1, 9}};
+  digest.crashes = {{77, 2}};
+  digest.leaving = true;
+  const std::string bytes = EncodePeerMessage(digest);
+  BOOST_TEST((DecodePeerMessage(bytes) == peer_envelope{digest, {}}));
+  load_notice notice;
+  notice.change = load_change::closing;
+  BOOST_TEST((DecodePeerMessage(EncodePeerMessage(notice)) ==
+              peer_envelope{notice, {}}));
+  for (std::size_t length = 0; length < bytes.size(); ++length)
+    BOOST_TEST(!DecodePeerMessage(bytes.substr(0, length)));
+  BOOST_TEST(!DecodePeerMessage("nonsense"));
 }
 
 }  // namespace
--- a/packages/gateway/tests/placement_lease_test.cc
+++ b/packages/gateway/tests/placement_lease_test.cc
@@ -150,6 +150,23 @@
   BOOST_TEST(!second.Holds(At(20000)));
 }
 
+// With hundreds of nodes, few of them may ask the store who places models.
+BOOST_AUTO_TEST_CASE(OnlyCandidatesAskForTheRow) {
+  lease_store store;
+  auto bystander = MakeNode("a");
+  bystander.SetCandidate(false);
+  for (int64_t ms = 0; ms < 10000; ms += 100)
+    BOOST_TEST((bystander.Next(At(ms)).what == action::none));
+  // A holder that stops being a candidate keeps and renews what it has.
+  auto holder = MakeNode("b");
+  for (int64_t ms = 0; ms < 1000; ms += 100)
+    Turn(holder, store, At(ms));
+  holder.SetCandidate(false);
+  for (int64_t ms = 1000; ms < 20000; ms += 100)
+    Turn(holder, store, At(ms));
+  BOOST_TEST(holder.Holds(At(20000)));
+}
+
 BOOST_AUTO_TEST_CASE(AnotherTakesWhatWasGivenUpWithoutWaiting) {
   lease_store store;
   auto first = MakeNode("a");
