Keep single nodes of other zones out of a zone's counts

Cause: a node that waits for a load sends its digest to the placement holder of another zone. Besides, a node that has never spoken for its zone sent to the address 0.0.0.0 of the other speakers until one of them had sent to it. Ruled out: silent zones (all four were heard), the hot team (15 other teams were refused in that zone). Test: SpeakersPassOnZonesButNoSingleNodesOfThem failed before.

--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -142,9 +142,8 @@
   const auto bound = peers_.Open(settings_.peer_address());
   if (!bound)
     return failure(bound.error());
-  peers_.OnMessage([this](const peer_message& message, bool from_other_zone) {
-    OnPeerMessage(message, from_other_zone);
-  });
+  peers_.OnMessage(
+      [this](const peer_message& message) { OnPeerMessage(message); });
   for (table_follower* table : {&site_rows_, &endpoint_rows_}) {
     table->OnChanges(
         [this](const table_changes& changes) { TellZoneOfChanges(changes); });
@@ -359,15 +358,10 @@
   SendDigest();
 }
 
-void gateway_node::OnPeerMessage(const peer_message& message,
-                                 bool from_other_zone) {
+void gateway_node::OnPeerMessage(const peer_message& message) {
   const time_point now = boot_clock::now();
-  const auto* digest = std::get_if<peer_digest>(&message);
-  // What comes from another zone is passed on to this one.
-  if (from_other_zone && peers_.IsSpeaker(now))
-    peers_.SpreadInZone(digest != nullptr ? WithoutDemand(*digest) : message);
-  if (digest != nullptr)
-    return OnDigest(*digest, from_other_zone);
+  if (const auto* digest = std::get_if<peer_digest>(&message))
+    return OnDigest(*digest);
   if (const auto* changes = std::get_if<table_changes>(&message)) {
     for (table_follower* table : {&site_rows_, &endpoint_rows_}) {
       if (table->copy().table() == changes->table && !table->Take(*changes))
@@ -382,11 +376,11 @@
   queue_.WakeAll();
 }
 
-void gateway_node::OnDigest(const peer_digest& digest, bool from_other_zone) {
+void gateway_node::OnDigest(const peer_digest& digest) {
   const time_point now = boot_clock::now();
   // A single node of another zone tells only the placement holder what it
   // wants; its zone's speaker tells the rest.
-  if (from_other_zone && !digest.whole_zone) {
+  if (digest.zone != settings_.zone && !digest.whole_zone) {
     orders_.OnWants(digest, now);
     return;
   }
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -49,8 +49,8 @@
   void ReadPeers();
   void OnPeersRead(const store_answer& answer);
 
-  void OnPeerMessage(const peer_message& message, bool from_other_zone);
-  void OnDigest(const peer_digest& digest, bool from_other_zone);
+  void OnPeerMessage(const peer_message& message);
+  void OnDigest(const peer_digest& digest);
   void OnPeerGone(const vm_id& node);
   void OnNotice(const load_notice& notice);
   peer_digest MakeDigest(time_point now);
--- a/packages/gateway/src/peer_group.cc
+++ b/packages/gateway/src/peer_group.cc
@@ -90,8 +90,20 @@
   }
   if (is_spread && envelope->spread_by != self_)
     PassOn(envelope->spread_by, bytes);
+  if (from_other_zone && IsSpeaker(boot_clock::now()))
+    SpreadFromOtherZone(message);
   if (on_message_)
-    on_message_(message, from_other_zone);
+    on_message_(message);
+}
+
+// A single node of another zone speaks to the placement holder alone: its
+// zone's speaker counts it for everybody else.
+void peer_group::SpreadFromOtherZone(const peer_message& message) {
+  const auto* digest = std::get_if<peer_digest>(&message);
+  if (digest == nullptr)
+    SpreadInZone(message);
+  else if (digest->whole_zone)
+    SpreadInZone(WithoutDemand(*digest));
 }
 
 void peer_group::NoteUnreadable() {
@@ -230,14 +242,13 @@
     if (peer.zone == zone_ || peer.zone.empty())
       continue;
     const auto speaker = speakers_.find(peer.zone);
-    if (speaker == speakers_.end() ||
-        now - speaker->second.heard_at > kSilentAfter)
+    if (speaker == speakers_.end() || !IsReachable(speaker->second, now))
       silent[peer.zone].emplace_back(RankOf(node), peer.address);
   }
   for (const auto& [zone, speaker] : speakers_) {
     const bool is_left_out =
         left_out != peers_.end() && left_out->second.address == speaker.address;
-    if (now - speaker.heard_at <= kSilentAfter && !is_left_out)
+    if (IsReachable(speaker, now) && !is_left_out)
       SendBytes(bytes, speaker.address);
   }
   for (auto& [zone, nodes] : silent) {
@@ -254,6 +265,13 @@
     SendBytes(EncodePeerMessage(message), found->second.address);
 }
 
+bool peer_group::IsReachable(const zone_speaker& speaker,
+                             time_point now) const {
+  // A node that has never spoken for its zone has heard the others through its
+  // own speaker only and does not know where they are.
+  return speaker.address.port() != 0 && now - speaker.heard_at <= kSilentAfter;
+}
+
 bool peer_group::IsInOtherZone(const vm_id& node) const {
   const auto found = peers_.find(node);
   return found != peers_.end() && found->second.zone != zone_;
--- a/packages/gateway/src/peer_group.h
+++ b/packages/gateway/src/peer_group.h
@@ -43,8 +43,7 @@
 // other zones and passes on what it gets. Runs on the loop.
 class peer_group {
  public:
-  using receiver =
-      std::function<void(const peer_message& message, bool from_other_zone)>;
+  using receiver = std::function<void(const peer_message& message)>;
 
   peer_group(http::event_loop& loop,
              vm_id self,
@@ -109,6 +108,7 @@
   // Whether the last datagram came from a node that is known to be in another
   // zone; nothing if its sender is not known.
   std::optional<bool> SenderIsElsewhere() const;
+  void SpreadFromOtherZone(const peer_message& message);
   void NoteUnreadable();
   void NoteDigest(const peer_digest& digest, bool from_other_zone);
   void NoteNode(const peer_digest& digest, time_point now);
@@ -117,6 +117,7 @@
   // The nodes of the zone that are heard, but for `origin`, by rank.
   std::vector<std::pair<uint64_t, boost::asio::ip::udp::endpoint>> SpreadOrder(
       const vm_id& origin) const;
+  bool IsReachable(const zone_speaker& speaker, time_point now) const;
   bool IsLive(const peer_state& peer, time_point now) const;
   void SendBytes(const std::string& bytes,
                  const boost::asio::ip::udp::endpoint& address);
--- a/packages/gateway/tests/peer_group_test.cc
+++ b/packages/gateway/tests/peer_group_test.cc
@@ -5,6 +5,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jasminepath::gateway {
@@ -13,33 +14,36 @@
 // How long a test waits for what has to happen; only a hang reaches it.
 constexpr auto kTestPatience = std::chrono::seconds(10);
 
-// Nodes of one zone on free ports of the loopback address.
-class zone_fixture {
+// Nodes on free ports of the loopback address, so many in each zone.
+class peers_fixture {
  public:
-  explicit zone_fixture(int count) {
-    for (int i = 0; i < count; ++i)
-      Start("n" + std::to_string(i));
+  explicit peers_fixture(const std::vector<int>& zones) {
+    for (std::size_t zone = 0; zone < zones.size(); ++zone) {
+      for (int i = 0; i < zones[zone]; ++i)
+        Start("n" + std::to_string(nodes_.size()),
+              zone_id("z" + std::to_string(zone)));
+    }
     for (const auto& from : nodes_) {
       for (const auto& to : nodes_)
-        from->peers.Add(to->name, kZone,
+        from->peers.Add(to->name, to->zone,
                         "127.0.0.1:" + std::to_string(to->peers.port()),
                         boot_clock::now());
     }
   }
 
-  // Every node hears every other one.
+  // Every node hears every other one of its zone.
   void Introduce() {
     for (const auto& node : nodes_) {
       peer_digest digest;
       digest.node = node->name;
-      digest.zone = kZone;
+      digest.zone = node->zone;
       digest.incarnation = 1;
       node->peers.SendToZone(digest, digest, {});
     }
     RunUntil([this] {
       for (const auto& node : nodes_) {
         for (const auto& [name, peer] : node->peers.peers()) {
-          if (peer.heard_at == time_point{})
+          if (peer.zone == node->zone && peer.heard_at == time_point{})
             return false;
         }
       }
@@ -53,6 +57,25 @@
     nodes_[from]->peers.SpreadInZone(notice);
   }
   int NoticesAt(std::size_t i) const { return nodes_[i]->notices; }
+
+  // The nodes of a zone with that node as their speaker.
+  std::size_t SpeakerOf(std::size_t i) const {
+    const vm_id speaker = nodes_[i]->peers.Speaker(boot_clock::now());
+    for (std::size_t place = 0; place < nodes_.size(); ++place) {
+      if (nodes_[place]->name == speaker)
+        return place;
+    }
+    return i;
+  }
+  peer_group& At(std::size_t i) { return nodes_[i]->peers; }
+  const vm_id& NameOf(std::size_t i) const { return nodes_[i]->name; }
+  const std::vector<peer_digest>& DigestsAt(std::size_t i) const {
+    return nodes_[i]->digests;
+  }
+  void ForgetDigests() {
+    for (const auto& node : nodes_)
+      node->digests.clear();
+  }
   std::size_t size() const { return nodes_.size(); }
 
   // Runs the loop until nothing has come for a while.
@@ -66,28 +89,30 @@
   }
 
  private:
-  inline static const zone_id kZone{"z1"};
-
   struct test_node {
     test_node(http::event_loop& loop,
               const std::string& id,
+              zone_id where,
               report::event_log& log)
-        : name(id), peers(loop, name, kZone, log) {}
+        : name(id), zone(std::move(where)), peers(loop, name, zone, log) {}
     vm_id name;
+    zone_id zone;
     peer_group peers;
     int notices = 0;
+    std::vector<peer_digest> digests;
   };
 
-  void Start(const std::string& name) {
-    nodes_.push_back(std::make_unique<test_node>(loop_, name, log_));
+  void Start(const std::string& name, const zone_id& zone) {
+    nodes_.push_back(std::make_unique<test_node>(loop_, name, zone, log_));
     test_node& started = *nodes_.back();
     BOOST_REQUIRE(started.peers.Open("127.0.0.1:0"));
-    started.peers.OnMessage(
-        [this, &started](const peer_message& message, bool) {
-          ++datagrams_;
-          if (std::holds_alternative<load_notice>(message))
-            ++started.notices;
-        });
+    started.peers.OnMessage([this, &started](const peer_message& message) {
+      ++datagrams_;
+      if (std::holds_alternative<load_notice>(message))
+        ++started.notices;
+      if (const auto* digest = std::get_if<peer_digest>(&message))
+        started.digests.push_back(*digest);
+    });
   }
 
   void RunUntil(const std::function<bool()>& condition) {
@@ -107,7 +132,7 @@
 
 BOOST_AUTO_TEST_CASE(WhatIsSpreadReachesEachNodeOfTheZoneOnce) {
   for (const int count : {1, 2, 5, 6, 31}) {
-    zone_fixture zone(count);
+    peers_fixture zone({count});
     zone.Introduce();
     for (std::size_t from = 0; from < zone.size(); ++from)
       zone.Spread(from);
@@ -119,12 +144,41 @@
 }
 
 BOOST_AUTO_TEST_CASE(NodesThatWereNotHeardYetGetItFromTheFirst) {
-  zone_fixture zone(12);
+  peers_fixture zone({12});
   zone.Spread(0);
   zone.RunUntilQuiet();
   for (std::size_t i = 1; i < zone.size(); ++i)
     BOOST_TEST(zone.NoticesAt(i) == 1);
 }
 
+// A node that waits for a load tells the placement holder of another zone. The
+// holder's zone must not take it for one of its own, even if the holder speaks
+// for it: it would be charged for rates and counted twice.
+BOOST_AUTO_TEST_CASE(SpeakersPassOnZonesButNoSingleNodesOfThem) {
+  peers_fixture peers({3, 4});
+  peers.Introduce();
+  peers.ForgetDigests();
+  const std::size_t speaker = peers.SpeakerOf(3);
+  peer_digest want;
+  want.node = peers.NameOf(0);
+  want.zone = zone_id("z0");
+  peers.At(0).SendTo(peers.NameOf(speaker), want);
+  peers.RunUntilQuiet();
+  for (std::size_t i = 3; i < peers.size(); ++i)
+    BOOST_TEST(peers.DigestsAt(i).size() == (i == speaker ? 1U : 0U));
+  peer_digest sum = want;
+  sum.node = peer_group::NameOfZone(want.zone);
+  sum.whole_zone = true;
+  sum.models = {{model_id("m"), {}, 1, 1}};
+  peers.At(0).SendTo(peers.NameOf(speaker), sum);
+  peers.RunUntilQuiet();
+  for (std::size_t i = 3; i < peers.size(); ++i) {
+    BOOST_TEST_REQUIRE(!peers.DigestsAt(i).empty());
+    const peer_digest& last = peers.DigestsAt(i).back();
+    BOOST_TEST((last.node == sum.node));
+    BOOST_TEST(last.has_demand == (i == speaker));
+  }
+}
+
 }  // namespace
 }  // namespace jasminepath::gateway
