Give a zone's duties to the nodes with most processor

Cause: by the hash of its name a node with 0.12 of a core and 10 Mbit/s speaks for its zone, reads the tables and places models, while others have 0.5 and 200. Change: nodes register their processor and say it in their digests; ranks go by it first.

--- a/packages/gateway/include/jasminepath/gateway/gateway_settings.h
+++ b/packages/gateway/include/jasminepath/gateway/gateway_settings.h
@@ -39,6 +39,9 @@
   // From the order to stop until no new connection is taken: the balancer asks
   // every second and needs two answers in a row to see that the node stops.
   duration lame_duck = Milliseconds(2600);
+  // Processor that the node may use, in thousandths of a core. Of the nodes of
+  // a zone, those with most take on duties for the others.
+  int64_t processor = 1000;
   fleet_bounds bounds;
 
   std::string peer_address() const {
--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -57,6 +57,8 @@
   // The node, or for a whole zone a name of its own.
   vm_id node;
   zone_id zone;
+  // Its processor in thousandths of a core.
+  int64_t processor = 0;
   // Nodes that it speaks for.
   int64_t nodes = 1;
   // Speaks for a zone.
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -15,6 +15,7 @@
 constexpr char kNodeTable[] = "jasminepath-nodes";
 constexpr char kAddressField[] = "address";
 constexpr char kZoneField[] = "zone";
+constexpr char kProcessorField[] = "processor";
 constexpr char kMetricsPath[] = "/metrics";
 constexpr char kLogLevel[] = "info";
 
@@ -104,7 +105,7 @@
               speech_,
               endpoints_,
               log_),
-      peers_(loop_, settings.node, settings.zone, log_),
+      peers_(loop_, settings.node, settings.zone, settings.processor, log_),
       relay_(loop_, log_),
       callers_(
           loop_,
@@ -315,6 +316,7 @@
   fields.push_back(
       {kAddressField, config::json_value(settings_.peer_address())});
   fields.push_back({kZoneField, config::json_value(settings_.zone.value())});
+  fields.push_back({kProcessorField, config::json_value(settings_.processor)});
   register_call_ = store_.Write(
       {kNodeTable, settings_.node.value(),
        config::WriteJson(config::json_value(std::move(fields))), std::nullopt},
@@ -344,6 +346,7 @@
     if (parsed)
       peers_.Add(vm_id(row.key),
                  zone_id(parsed.value().StringOr(kZoneField, "")),
+                 parsed.value().IntegerOr(kProcessorField, 0),
                  parsed.value().StringOr(kAddressField, ""), now);
     else
       log_.Write(report::log_level::warning, "registration_unreadable",
@@ -432,6 +435,7 @@
   peer_digest digest;
   digest.node = settings_.node;
   digest.zone = settings_.zone;
+  digest.processor = settings_.processor;
   digest.incarnation = incarnation_;
   digest.sequence = ++sequence_;
   digest.facts_address = settings_.metrics_address();
--- a/packages/gateway/src/peer_group.cc
+++ b/packages/gateway/src/peer_group.cc
@@ -26,8 +26,8 @@
 // Nodes of a zone without a known speaker that are tried at a time.
 constexpr std::size_t kSpeakersTried = 3;
 
-uint64_t RankOf(const vm_id& node) {
-  return StableHash(node.value() + "/speaker");
+duty_rank RankOf(const vm_id& node, int64_t processor) {
+  return {processor, StableHash(node.value() + "/speaker")};
 }
 
 }  // namespace
@@ -35,9 +35,11 @@
 peer_group::peer_group(http::event_loop& loop,
                        vm_id self,
                        zone_id zone,
+                       int64_t processor,
                        report::event_log& log)
     : self_(std::move(self)),
       zone_(std::move(zone)),
+      processor_(processor),
       log_(log),
       socket_(loop) {}
 
@@ -148,12 +150,14 @@
   peer.leaving = digest.leaving;
   peer.address = sender_;
   peer.zone = digest.zone;
+  peer.processor = digest.processor;
   peer.incarnation = digest.incarnation;
   peer.heard_at = now;
 }
 
 void peer_group::Add(const vm_id& node,
                      const zone_id& zone,
+                     int64_t processor,
                      const std::string& address,
                      time_point now) {
   const auto endpoint = http::ParseEndpoint(address);
@@ -163,6 +167,7 @@
   peer.address =
       udp::endpoint(endpoint.value().address(), endpoint.value().port());
   peer.zone = zone;
+  peer.processor = processor;
   peer.known_at = now;
   peers_.emplace(node, peer);
 }
@@ -178,13 +183,13 @@
   socket_.send_to(boost::asio::buffer(bytes), address, 0, ignored);
 }
 
-std::vector<std::pair<uint64_t, udp::endpoint>> peer_group::SpreadOrder(
+std::vector<std::pair<duty_rank, udp::endpoint>> peer_group::SpreadOrder(
     const vm_id& origin) const {
-  std::vector<std::pair<uint64_t, udp::endpoint>> order;
+  std::vector<std::pair<duty_rank, udp::endpoint>> order;
   for (const auto& [node, peer] : peers_) {
     if (peer.zone == zone_ && peer.heard_at != time_point{} && !peer.silent &&
         node != origin)
-      order.emplace_back(RankOf(node), peer.address);
+      order.emplace_back(RankOf(node, peer.processor), peer.address);
   }
   std::sort(order.begin(), order.end());
   return order;
@@ -207,7 +212,7 @@
 // even while nodes disagree on who is there.
 void peer_group::PassOn(const vm_id& origin, const std::string& bytes) {
   const auto order = SpreadOrder(origin);
-  const uint64_t own = RankOf(self_);
+  const duty_rank own = RankOf(self_, processor_);
   const auto place = static_cast<std::size_t>(
       std::count_if(order.begin(), order.end(),
                     [own](const auto& item) { return item.first < own; }));
@@ -237,13 +242,14 @@
                                   const vm_id& except) {
   const std::string bytes = EncodePeerMessage(message);
   const auto left_out = peers_.find(except);
-  std::map<zone_id, std::vector<std::pair<uint64_t, udp::endpoint>>> silent;
+  std::map<zone_id, std::vector<std::pair<duty_rank, udp::endpoint>>> silent;
   for (const auto& [node, peer] : peers_) {
     if (peer.zone == zone_ || peer.zone.empty())
       continue;
     const auto speaker = speakers_.find(peer.zone);
     if (speaker == speakers_.end() || !IsReachable(speaker->second, now))
-      silent[peer.zone].emplace_back(RankOf(node), peer.address);
+      silent[peer.zone].emplace_back(RankOf(node, peer.processor),
+                                     peer.address);
   }
   for (const auto& [zone, speaker] : speakers_) {
     const bool is_left_out =
@@ -283,19 +289,20 @@
 }
 
 int64_t peer_group::RankInZone(time_point now) const {
-  const uint64_t own = RankOf(self_);
+  const duty_rank own = RankOf(self_, processor_);
   return std::count_if(peers_.begin(), peers_.end(), [&](const auto& item) {
-    return IsLive(item.second, now) && RankOf(item.first) < own;
+    return IsLive(item.second, now) &&
+           RankOf(item.first, item.second.processor) < own;
   });
 }
 
 vm_id peer_group::Speaker(time_point now) const {
   vm_id speaker = self_;
-  uint64_t lowest = RankOf(self_);
+  duty_rank lowest = RankOf(self_, processor_);
   for (const auto& [node, peer] : peers_) {
-    if (IsLive(peer, now) && RankOf(node) < lowest) {
+    if (IsLive(peer, now) && RankOf(node, peer.processor) < lowest) {
       speaker = node;
-      lowest = RankOf(node);
+      lowest = RankOf(node, peer.processor);
     }
   }
   return speaker;
--- a/packages/gateway/src/peer_group.h
+++ b/packages/gateway/src/peer_group.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -22,6 +23,8 @@
 struct peer_state {
   boost::asio::ip::udp::endpoint address;
   zone_id zone;
+  // In thousandths of a core.
+  int64_t processor = 0;
   uint64_t incarnation = 0;
   // When it was first known and last heard; the epoch if never.
   time_point known_at{};
@@ -30,6 +33,18 @@
   bool leaving = false;
 };
 
+// Order of the nodes of a zone for its duties: those with most processor come
+// first, the others as a hash of their names has it.
+struct duty_rank {
+  int64_t processor = 0;
+  uint64_t hash = 0;
+
+  friend bool operator==(const duty_rank&, const duty_rank&) = default;
+  friend bool operator<(const duty_rank& a, const duty_rank& b) {
+    return std::tie(b.processor, a.hash) < std::tie(a.processor, b.hash);
+  }
+};
+
 // The node that speaks for another zone.
 struct zone_speaker {
   boost::asio::ip::udp::endpoint address;
@@ -48,6 +63,7 @@
   peer_group(http::event_loop& loop,
              vm_id self,
              zone_id zone,
+             int64_t processor,
              report::event_log& log);
 
   // Binds to "IP:PORT". The error names the address and the reason.
@@ -66,6 +82,7 @@
   // A node that has registered itself.
   void Add(const vm_id& node,
            const zone_id& zone,
+           int64_t processor,
            const std::string& address,
            time_point now);
 
@@ -115,7 +132,7 @@
   // Passes on what another node of the zone spreads.
   void PassOn(const vm_id& origin, const std::string& bytes);
   // The nodes of the zone that are heard, but for `origin`, by rank.
-  std::vector<std::pair<uint64_t, boost::asio::ip::udp::endpoint>> SpreadOrder(
+  std::vector<std::pair<duty_rank, boost::asio::ip::udp::endpoint>> SpreadOrder(
       const vm_id& origin) const;
   bool IsReachable(const zone_speaker& speaker, time_point now) const;
   bool IsLive(const peer_state& peer, time_point now) const;
@@ -124,6 +141,7 @@
 
   vm_id self_;
   zone_id zone_;
+  int64_t processor_;
   report::event_log& log_;
   boost::asio::ip::udp::socket socket_;
   boost::asio::ip::udp::endpoint sender_;
--- a/packages/gateway/tests/peer_digest_test.cc
+++ b/packages/gateway/tests/peer_digest_test.cc
@@ -10,6 +10,7 @@
   peer_digest digest;
   digest.node = vm_id("n1");
   digest.zone = zone_id("z1");
+  digest.processor = 14;
   digest.nodes = 2;
   digest.whole_zone = true;
   digest.incarnation = 3;
--- a/packages/gateway/tests/peer_group_test.cc
+++ b/packages/gateway/tests/peer_group_test.cc
@@ -14,6 +14,11 @@
 // How long a test waits for what has to happen; only a hang reaches it.
 constexpr auto kTestPatience = std::chrono::seconds(10);
 
+// The third node of each zone has most processor.
+constexpr int kLargeNode = 2;
+constexpr int64_t kLargeProcessor = 500;
+constexpr int64_t kSmallProcessor = 120;
+
 // Nodes on free ports of the loopback address, so many in each zone.
 class peers_fixture {
  public:
@@ -21,11 +26,12 @@
     for (std::size_t zone = 0; zone < zones.size(); ++zone) {
       for (int i = 0; i < zones[zone]; ++i)
         Start("n" + std::to_string(nodes_.size()),
-              zone_id("z" + std::to_string(zone)));
+              zone_id("z" + std::to_string(zone)),
+              i == kLargeNode ? kLargeProcessor : kSmallProcessor);
     }
     for (const auto& from : nodes_) {
       for (const auto& to : nodes_)
-        from->peers.Add(to->name, to->zone,
+        from->peers.Add(to->name, to->zone, to->processor,
                         "127.0.0.1:" + std::to_string(to->peers.port()),
                         boot_clock::now());
     }
@@ -37,6 +43,7 @@
       peer_digest digest;
       digest.node = node->name;
       digest.zone = node->zone;
+      digest.processor = node->processor;
       digest.incarnation = 1;
       node->peers.SendToZone(digest, digest, {});
     }
@@ -93,17 +100,23 @@
     test_node(http::event_loop& loop,
               const std::string& id,
               zone_id where,
+              int64_t thousandths,
               report::event_log& log)
-        : name(id), zone(std::move(where)), peers(loop, name, zone, log) {}
+        : name(id),
+          zone(std::move(where)),
+          processor(thousandths),
+          peers(loop, name, zone, processor, log) {}
     vm_id name;
     zone_id zone;
+    int64_t processor;
     peer_group peers;
     int notices = 0;
     std::vector<peer_digest> digests;
   };
 
-  void Start(const std::string& name, const zone_id& zone) {
-    nodes_.push_back(std::make_unique<test_node>(loop_, name, zone, log_));
+  void Start(const std::string& name, const zone_id& zone, int64_t processor) {
+    nodes_.push_back(
+        std::make_unique<test_node>(loop_, name, zone, processor, log_));
     test_node& started = *nodes_.back();
     BOOST_REQUIRE(started.peers.Open("127.0.0.1:0"));
     started.peers.OnMessage([this, &started](const peer_message& message) {
@@ -151,6 +164,13 @@
     BOOST_TEST(zone.NoticesAt(i) == 1);
 }
 
+BOOST_AUTO_TEST_CASE(TheNodeWithMostProcessorSpeaksForItsZone) {
+  peers_fixture peers({12});
+  peers.Introduce();
+  for (std::size_t i = 0; i < peers.size(); ++i)
+    BOOST_TEST(peers.SpeakerOf(i) == static_cast<std::size_t>(kLargeNode));
+}
+
 // A node that waits for a load tells the placement holder of another zone. The
 // holder's zone must not take it for one of its own, even if the holder speaks
 // for it: it would be charged for rates and counted twice.
