Answer calls before a planned stop ends

Ruled out: a lost notice (the load was complete 1.3 s after the exit). Change: from the order to stop on, no call waits for longer than the node has left: what cannot be loaded by then is refused at once with 503, so that the caller goes to another node, the rest shortly before the exit. Test: AStoppingNodeRefusesWhatItCannotServeInTime got no answer before.

--- a/packages/gateway/src/call_context.h
+++ b/packages/gateway/src/call_context.h
@@ -44,6 +44,8 @@
   gateway_metrics& metrics;
   // The configuration in force; null before the first one has come.
   site_pointer site;
+  // When calls have to be answered because the process ends, if it does.
+  time_point ends_at = time_point::max();
 };
 
 }  // namespace jasminepath::gateway
--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -221,6 +221,9 @@
   if (for_load && ready_at > deadline_ - kLeastTimeToSend)
     return Refuse(503, "load_too_late",
                   std::max<duration>(ready_at - now, kRetrySoon));
+  // Another node may serve it.
+  if (for_load && ready_at > context_.ends_at - kLeastTimeToSend)
+    return Refuse(503, "node_stops", kRetrySoon);
   if (for_load && now - std::max(ready_at, arrived_at_) > kLoadPatience)
     return Refuse(503, "not_loaded", kRetrySoon);
   if (queued_ && queued_for_load_ == for_load)
@@ -549,7 +552,7 @@
 }
 
 duration call_session::TimeLeft() const {
-  return deadline_ - boot_clock::now();
+  return std::min(deadline_, context_.ends_at) - boot_clock::now();
 }
 
 void call_session::Log(std::string_view outcome,
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -51,6 +51,8 @@
 // Kept back at the end of the grace period for the exit itself.
 constexpr duration kExitMargin = Milliseconds(700);
 constexpr duration kStopCheck = Milliseconds(100);
+// From the last answers until the exit, so that they reach their callers.
+constexpr duration kLastAnswers = Milliseconds(200);
 // Spread of the nodes that compete for the placement lease.
 constexpr int64_t kCandidateSpreadMs = 400;
 
@@ -533,9 +535,12 @@
   stop_began_ = boot_clock::now();
   log_.Write(report::log_level::info, "stopping",
              {{"busy", static_cast<int64_t>(callers_.busy_count())}});
+  context_.ends_at =
+      stop_began_ + settings_.bounds.grace - kExitMargin - kLastAnswers;
   orders_.BeginStop(stop_began_);
   callers_.BeginDrain();
   SendDigest();
+  queue_.WakeAll();
   ContinueStop();
 }
 
