Weigh affinity by shared tokens and spread requests over equal endpoints

Change: leaving the engine with the shared parts costs a running request for each 1,000 tokens that have to be read again; loads closer than one request count as equal, and the request's id decides.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -92,8 +92,10 @@
                                 boot_clock::now());
     std::string shared = request_.model.value();
     if (request_.prompt.size() > 1) {
-      for (std::size_t i = 0; i + 1 < request_.prompt.size(); ++i)
+      for (std::size_t i = 0; i + 1 < request_.prompt.size(); ++i) {
         shared.append("\n").append(request_.prompt[i].id);
+        shared_tokens_ += request_.prompt[i].tokens;
+      }
     }
     affinity_ = StableHash(shared);
   }
@@ -174,9 +176,11 @@
   endpoint_query query;
   query.service = service_;
   query.model = NeededModel();
+  query.spread = StableHash(request_.id.value());
   if (spec_ != nullptr && spec_->engine) {
     query.adapter = request_.adapter;
     query.affinity = affinity_;
+    query.shared_tokens = shared_tokens_;
   }
   const time_point now = boot_clock::now();
   for (const auto& [endpoint, failed_at] : avoid_) {
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -93,6 +93,7 @@
   int64_t charged_ = 0;
   uint64_t fingerprint_ = 0;
   uint64_t affinity_ = 0;
+  int64_t shared_tokens_ = 0;
   time_point arrived_at_{};
   time_point deadline_{};
   http::timer deadline_timer_;
--- a/packages/gateway/src/endpoint_pool.cc
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -18,17 +18,30 @@
 constexpr duration kUnreachableTime = Milliseconds(1000);
 // How long a model is not asked for where it was found missing.
 constexpr duration kNotHeldTime = Milliseconds(1500);
-// What a request in another zone (to an engine, to a plain service), and one
-// away from its engine with the shared prompt parts, costs in running requests.
+// What a request in another zone (to an engine, to a plain service) costs in
+// running requests.
 constexpr double kOtherZoneCost = 3.0;
 constexpr double kOtherZonePlainCost = 1.0;
-constexpr double kOffAffinityCost = 6.0;
+// Prompt tokens whose reading weighs like a running request, for a request away
+// from the engine that keeps its shared parts.
+constexpr double kTokensPerRunning = 1000.0;
+// Loads of peers are known with a lag; a difference below this many running
+// requests says nothing.
+constexpr double kLoadSpread = 1.0;
 // First time that a failing endpoint is out of rotation, and the longest.
 constexpr duration kFirstEjection = Milliseconds(1500);
 constexpr duration kLongestEjection = Seconds(10);
 // Successful probes that bring an endpoint back.
 constexpr int64_t kProbesToReturn = 1;
 
+// A number from 0 to 1 that is the same for the same endpoint and request.
+double Fraction(const endpoint_id& endpoint, uint64_t request) {
+  const uint64_t hash =
+      StableHash(endpoint.value() + "/" + std::to_string(request));
+  return static_cast<double>(hash) /
+         static_cast<double>(std::numeric_limits<uint64_t>::max());
+}
+
 bool Listed(const std::vector<endpoint_id>& ids, const endpoint_id& id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
@@ -171,8 +184,8 @@
   if (endpoint.entry.zone != zone_)
     score += query.model.empty() ? kOtherZonePlainCost : kOtherZoneCost;
   if (!preferred)
-    score += kOffAffinityCost;
-  return score;
+    score += static_cast<double>(query.shared_tokens) / kTokensPerRunning;
+  return score + kLoadSpread * Fraction(endpoint.entry.id, query.spread);
 }
 
 endpoint_pool::choice endpoint_pool::Pick(const endpoint_query& query,
--- a/packages/gateway/src/endpoint_pool.h
+++ b/packages/gateway/src/endpoint_pool.h
@@ -28,6 +28,11 @@
   // Stable hash of what requests share that gain from the same engine; 0 if
   // nothing.
   uint64_t affinity = 0;
+  // Tokens of the prompt that such an engine does not have to read again.
+  int64_t shared_tokens = 0;
+  // Differs between requests, so that those that come at once, and nodes that
+  // know the same load, do not all choose the same endpoint.
+  uint64_t spread = 0;
   // Endpoints that have just failed this request.
   std::vector<endpoint_id> avoid;
 
@@ -113,6 +118,7 @@
   bool Holds(const pooled_endpoint& endpoint,
              const endpoint_query& query,
              time_point now) const;
+  // Expected load of the endpoint for the request, in running requests.
   double Score(const pooled_endpoint& endpoint,
                const endpoint_query& query,
                bool preferred) const;
