Reach a placement holder that was added later; log a node's duties

Found by reading: the sum of a zone's demand went to the holder by the address that it had registered before this node started; a node added later, which may be the first of its zone and take the lease, got none. The sum then goes to all speakers. A change of a node's duties left no line in the log. Test: DemandGoesToThePlacementHolderAlone.

--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -1,5 +1,6 @@
 #include "gateway_node.h"
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 #include <utility>
@@ -475,9 +476,7 @@
     sum.facts_address = digest.facts_address;
     sum.site_change = digest.site_change;
     sum.endpoints_change = digest.endpoints_change;
-    peers_.SendToOtherZones(WithoutDemand(sum), now, holder);
-    if (peers_.IsInOtherZone(holder))
-      peers_.SendTo(holder, sum);
+    peers_.SendZoneSum(sum, holder, now);
   }
   orders_.OnDigest(digest, now);
   if (orders_.holds(now))
@@ -505,12 +504,7 @@
 void gateway_node::Tick() {
   const time_point now = boot_clock::now();
   peers_.Check(now);
-  // Few nodes of each zone read the store's tables for the others.
-  const int64_t rank = peers_.RankInZone(now);
-  const bool settled = now - started_at_ > kSettling;
-  endpoint_rows_.SetPolling(settled && rank < kEndpointReaders);
-  site_rows_.SetPolling(settled && rank < kSiteReaders);
-  orders_.SetCandidate(settled && rank < kPlacementCandidates);
+  TakeDuties(now);
   if (peers_known_)
     limiter_.SetNodeCount(peers_.node_count());
   retries_.SetNodes(peers_.node_count());
@@ -528,6 +522,33 @@
   tick_timer_.Start(kTickInterval, [this] { Tick(); });
 }
 
+// Few nodes of each zone read the store's tables for the others, speak for the
+// zone and watch the placement lease.
+void gateway_node::TakeDuties(time_point now) {
+  if (now - started_at_ <= kSettling) {
+    endpoint_rows_.SetPolling(false);
+    site_rows_.SetPolling(false);
+    orders_.SetCandidate(false);
+    return;
+  }
+  const int64_t rank = peers_.RankInZone(now);
+  endpoint_rows_.SetPolling(rank < kEndpointReaders);
+  site_rows_.SetPolling(rank < kSiteReaders);
+  orders_.SetCandidate(rank < kPlacementCandidates);
+  // Ranks behind the duties change without effect.
+  const int64_t duty_rank = std::min(rank, kSiteReaders);
+  if (duty_rank == duty_rank_)
+    return;
+  duty_rank_ = duty_rank;
+  log_.Write(
+      report::log_level::info, "duties",
+      {{"rank", rank},
+       {"speaks", static_cast<int64_t>(rank == 0)},
+       {"reads_endpoints", static_cast<int64_t>(rank < kEndpointReaders)},
+       {"reads_configuration", static_cast<int64_t>(rank < kSiteReaders)},
+       {"zone_nodes", peers_.zone_node_count()}});
+}
+
 void gateway_node::BeginStop() {
   if (stopping_)
     return;
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -60,6 +60,7 @@
   void ScheduleDigest();
 
   void Tick();
+  void TakeDuties(time_point now);
   void WatchSignals();
   void Reload();
   void ContinueStop();
@@ -99,6 +100,8 @@
   // The registered nodes have been read.
   bool peers_known_ = false;
   time_point started_at_{};
+  // The last rank in the zone that was logged, up to the last one with duties.
+  int64_t duty_rank_ = -1;
   bool was_ready_ = false;
   bool stopping_ = false;
   time_point stop_began_{};
--- a/packages/gateway/src/peer_group.cc
+++ b/packages/gateway/src/peer_group.cc
@@ -265,6 +265,17 @@
   }
 }
 
+void peer_group::SendZoneSum(const peer_digest& sum,
+                             const vm_id& holder,
+                             time_point now) {
+  const auto known = peers_.find(holder);
+  if (known == peers_.end() && holder != self_)
+    return SendToOtherZones(sum, now);
+  SendToOtherZones(WithoutDemand(sum), now, holder);
+  if (known != peers_.end() && known->second.zone != zone_)
+    SendTo(holder, sum);
+}
+
 void peer_group::SendTo(const vm_id& node, const peer_message& message) {
   const auto found = peers_.find(node);
   if (found != peers_.end())
@@ -278,11 +289,6 @@
   return speaker.address.port() != 0 && now - speaker.heard_at <= kSilentAfter;
 }
 
-bool peer_group::IsInOtherZone(const vm_id& node) const {
-  const auto found = peers_.find(node);
-  return found != peers_.end() && found->second.zone != zone_;
-}
-
 bool peer_group::IsLive(const peer_state& peer, time_point now) const {
   return peer.zone == zone_ && !peer.leaving && peer.heard_at != time_point{} &&
          now - peer.heard_at <= kSilentAfter;
--- a/packages/gateway/src/peer_group.h
+++ b/packages/gateway/src/peer_group.h
@@ -101,8 +101,11 @@
   void SendToOtherZones(const peer_message& message,
                         time_point now,
                         const vm_id& except = {});
+  // Sends what this zone's nodes say together to the other zones: with demand
+  // to the holder of placement, without it to the speakers. A holder that has
+  // not been heard of is taken for one of the speakers.
+  void SendZoneSum(const peer_digest& sum, const vm_id& holder, time_point now);
   void SendTo(const vm_id& node, const peer_message& message);
-  bool IsInOtherZone(const vm_id& node) const;
 
   // How many live nodes of the zone come before this one; the first speaks.
   int64_t RankInZone(time_point now) const;
--- a/packages/gateway/tests/peer_group_test.cc
+++ b/packages/gateway/tests/peer_group_test.cc
@@ -1,5 +1,6 @@
 #include "peer_group.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <functional>
@@ -164,6 +165,32 @@
     BOOST_TEST(zone.NoticesAt(i) == 1);
 }
 
+BOOST_AUTO_TEST_CASE(DemandGoesToThePlacementHolderAlone) {
+  peers_fixture peers({1, 4});
+  peers.Introduce();
+  const std::size_t speaker = peers.SpeakerOf(1);
+  const std::size_t holder = speaker == 1 ? 2 : 1;
+  peer_digest sum;
+  sum.node = peer_group::NameOfZone(zone_id("z0"));
+  sum.zone = zone_id("z0");
+  sum.whole_zone = true;
+  peers.ForgetDigests();
+  peers.At(0).SendZoneSum(sum, peers.NameOf(holder), boot_clock::now());
+  peers.RunUntilQuiet();
+  const auto with_demand = [&peers](std::size_t i) {
+    return std::count_if(peers.DigestsAt(i).begin(), peers.DigestsAt(i).end(),
+                         [](const peer_digest& d) { return d.has_demand; });
+  };
+  BOOST_TEST(!peers.DigestsAt(speaker).empty());
+  for (std::size_t i = 1; i < peers.size(); ++i)
+    BOOST_TEST(with_demand(i) == (i == holder ? 1 : 0));
+  // A holder that was added after this node had read who is there.
+  peers.ForgetDigests();
+  peers.At(0).SendZoneSum(sum, vm_id("added"), boot_clock::now());
+  peers.RunUntilQuiet();
+  BOOST_TEST(with_demand(speaker) >= 1);
+}
+
 BOOST_AUTO_TEST_CASE(TheNodeWithMostProcessorSpeaksForItsZone) {
   peers_fixture peers({12});
   peers.Introduce();
