--- a/packages/gateway/src/peer_digest.cc
+++ b/packages/gateway/src/peer_digest.cc
@@ -14,6 +14,8 @@
 
 // Format of the messages; another one is not read.
 constexpr uint32_t kFormat = 4;
+// Deepest nesting of arrays in a message.
+constexpr std::size_t kMostDepth = 8;
 // Largest table that is read from a peer.
 constexpr std::size_t kMostTableBytes = std::size_t{16} << 20;
 
@@ -136,9 +138,18 @@
   }
 }
 
+// No array or text can have more items than there are bytes; without a limit,
+// a few bytes make the library allocate gigabytes.
+msgpack::object_handle Parse(std::string_view bytes) {
+  const std::size_t most = bytes.size();
+  return msgpack::unpack(
+      bytes.data(), bytes.size(), nullptr, nullptr,
+      msgpack::unpack_limit(most, most, most, most, most, kMostDepth));
+}
+
 template <typename Message>
 peer_message UnpackMessage(const std::string& content) {
-  const auto handle = msgpack::unpack(content.data(), content.size());
+  const auto handle = Parse(content);
   Message message;
   Unpack(handle.get(), message);
   return message;
@@ -186,7 +197,7 @@
 
 std::optional<peer_envelope> DecodePeerMessage(std::string_view bytes) {
   try {
-    const auto handle = msgpack::unpack(bytes.data(), bytes.size());
+    const auto handle = Parse(bytes);
     const msgpack::object& root = handle.get();
     if (root.type != msgpack::type::ARRAY || root.via.array.size != 4 ||
         root.via.array.ptr[0].as<uint32_t>() != kFormat)
--- a/packages/gateway/tests/peer_digest_test.cc
+++ b/packages/gateway/tests/peer_digest_test.cc
@@ -95,6 +95,12 @@
   BOOST_TEST(!DecodePeerMessage(rows).has_value());
 }
 
+// An array that claims to have four billion items.
+BOOST_AUTO_TEST_CASE(ShortDatagramsCannotClaimLongArrays) {
+  BOOST_TEST(!DecodePeerMessage("\xdd\xff\xff\xff\xff").has_value());
+  BOOST_TEST(!DecodePeerMessage("\x94\xdd\x10\xff\xff\xff").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(ReadsBackPeerMessages) {
   peer_digest digest;
   digest.node = vm_id("n");
