Let the gateway's twins share one piece of code

No change of behaviour is meant: - MixHashes moves from decision's rendezvous to base; the pool's choice of an engine for shared parts and its order of equal endpoints use it instead of two hashes of joined texts (no allocation for each endpoint and request) - the silence of a report and the reporters of an unreachable engine stood in the summary and in the planner - peer_group::SendDigest beside SendZoneSum knows who needs demand, in place of a call with two messages and a list; changes that fit into a datagram are compressed once instead of twice; a datagram is not copied to be read - applying a notice, replacing a table, testing for an order under way and setting a node's duties each stood twice

--- a/packages/base/include/jasminepath/base/digest.h
+++ b/packages/base/include/jasminepath/base/digest.h
@@ -17,6 +17,9 @@
 // a final mix); not for secrets.
 uint64_t StableHash(std::string_view data);
 
+// Mixes two such hashes into one, for choices by rendezvous hashing.
+uint64_t MixHashes(uint64_t a, uint64_t b);
+
 }  // namespace jasminepath
 
 #endif  // JASMINEPATH_BASE_DIGEST_H_
--- a/packages/base/src/digest.cc
+++ b/packages/base/src/digest.cc
@@ -33,4 +33,12 @@
   return hash;
 }
 
+// The finalizer of SplitMix64.
+uint64_t MixHashes(uint64_t a, uint64_t b) {
+  uint64_t value = a ^ b;
+  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
+  return value ^ (value >> 31);
+}
+
 }  // namespace jasminepath
--- a/packages/decision/src/placement/rendezvous.cc
+++ b/packages/decision/src/placement/rendezvous.cc
@@ -4,18 +4,6 @@
 
 namespace jasminepath::decision {
 
-namespace {
-
-// Mixes the hashes of a key and a member (the finalizer of SplitMix64).
-uint64_t Mix(uint64_t key, uint64_t member) {
-  uint64_t value = key ^ member;
-  value = (value ^ (value >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  value = (value ^ (value >> 27)) * 0x94d049bb133111ebULL;
-  return value ^ (value >> 31);
-}
-
-}  // namespace
-
 void rendezvous::SetMembers(const std::vector<instance_id>& members) {
   members_.clear();
   for (const instance_id& id : members)
@@ -27,7 +15,7 @@
   const member* best = nullptr;
   uint64_t best_score = 0;
   for (const member& entry : members_) {
-    const uint64_t score = Mix(key_hash, entry.hash);
+    const uint64_t score = MixHashes(key_hash, entry.hash);
     if (best != nullptr && score <= best_score)
       continue;
     best = &entry;
--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -8,10 +8,18 @@
 #include <variant>
 #include <vector>
 
+#include "jasminepath/base/boot_time.h"
 #include "jasminepath/base/ids.h"
 
 namespace jasminepath::gateway {
 
+// A node that has not reported for this long counts for no running or waiting
+// requests any more.
+inline constexpr duration kReportHolds = Seconds(3);
+// Nodes that have to find an endpoint unreachable, so that one that is cut off
+// does not speak for all.
+inline constexpr int64_t kReportersNeeded = 2;
+
 // Tokens of a team that one node has let through since it started.
 struct team_use {
   team_id team;
--- a/packages/gateway/include/jasminepath/gateway/placement_planner.h
+++ b/packages/gateway/include/jasminepath/gateway/placement_planner.h
@@ -134,7 +134,10 @@
   // Whether the engine can be given an order now.
   bool Idle(const engine_state& engine, time_point now) const;
   bool Resident(const engine_state& engine, const model_id& model) const;
-  bool Closing(const engine_state& engine, const model_id& model) const;
+  // Whether an order of that kind for the whole model is under way.
+  bool Ordered(const engine_state& engine,
+               order_kind kind,
+               const model_id& model) const;
   bool Loading(const engine_state& engine, const model_id& model) const;
   bool OnTheWay(const model_id& model) const;
   int64_t ReplicaCount(const model_id& model) const;
--- a/packages/gateway/src/endpoint_pool.cc
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -34,12 +34,9 @@
 // Successful probes that bring an endpoint back.
 constexpr int64_t kProbesToReturn = 1;
 
-// A number from 0 to 1 that is the same for the same endpoint and request.
-double Fraction(const endpoint_id& endpoint, uint64_t request) {
-  const uint64_t hash =
-      StableHash(endpoint.value() + "/" + std::to_string(request));
-  return static_cast<double>(hash) /
-         static_cast<double>(std::numeric_limits<uint64_t>::max());
+// Order of the endpoints for a key, the same on all nodes.
+uint64_t WeightFor(const endpoint_id& endpoint, uint64_t key) {
+  return MixHashes(StableHash(endpoint.value()), key);
 }
 
 bool Listed(const std::vector<endpoint_id>& ids, const endpoint_id& id) {
@@ -185,7 +182,10 @@
     score += query.model.empty() ? kOtherZonePlainCost : kOtherZoneCost;
   if (!preferred)
     score += static_cast<double>(query.shared_tokens) / kTokensPerRunning;
-  return score + kLoadSpread * Fraction(endpoint.entry.id, query.spread);
+  const auto place =
+      static_cast<double>(WeightFor(endpoint.entry.id, query.spread)) /
+      static_cast<double>(std::numeric_limits<uint64_t>::max());
+  return score + kLoadSpread * place;
 }
 
 endpoint_pool::choice endpoint_pool::Pick(const endpoint_query& query,
@@ -228,8 +228,7 @@
   uint64_t highest = 0;
   if (query.affinity != 0) {
     for (const auto& endpoint : sound) {
-      const uint64_t weight = StableHash(endpoint->entry.id.value() +
-                                         std::to_string(query.affinity));
+      const uint64_t weight = WeightFor(endpoint->entry.id, query.affinity);
       if (preferred == nullptr || weight > highest) {
         preferred = endpoint.get();
         highest = weight;
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -35,8 +35,6 @@
 // Time after the start in which peers send their first digests, so that not
 // every new node takes itself for the first of its zone.
 constexpr duration kSettling = Milliseconds(600);
-// Bytes of a datagram; larger changes are fetched over a connection.
-constexpr std::size_t kMostDatagramBytes = 8192;
 // Interval of digests; one is sent at once when a call begins to wait for a
 // model.
 constexpr duration kDigestInterval = Milliseconds(300);
@@ -365,7 +363,6 @@
 }
 
 void gateway_node::OnPeerMessage(const peer_message& message) {
-  const time_point now = boot_clock::now();
   if (const auto* digest = std::get_if<peer_digest>(&message))
     return OnDigest(*digest);
   if (const auto* changes = std::get_if<table_changes>(&message)) {
@@ -375,11 +372,14 @@
     }
     return;
   }
-  const auto& notice = std::get<load_notice>(message);
+  ApplyNotice(std::get<load_notice>(message), boot_clock::now());
+  queue_.WakeAll();
+}
+
+void gateway_node::ApplyNotice(const load_notice& notice, time_point now) {
   endpoints_.OnNotice(notice, now);
   if (notice.change == load_change::loading)
     queue_.SetReadyAt(notice.model, now + Milliseconds(notice.ready_in_ms));
-  queue_.WakeAll();
 }
 
 void gateway_node::OnDigest(const peer_digest& digest) {
@@ -411,9 +411,7 @@
 void gateway_node::TellZoneOfChanges(const table_changes& changes) {
   table_changes message = changes;
   message.facts_address = settings_.metrics_address();
-  if (EncodePeerMessage(message).size() > kMostDatagramBytes)
-    message.rows.clear();
-  peers_.SpreadInZone(message);
+  peers_.SpreadChanges(std::move(message));
 }
 
 void gateway_node::OnPeerGone(const vm_id& node) {
@@ -428,9 +426,7 @@
   const time_point now = boot_clock::now();
   peers_.SpreadInZone(notice);
   peers_.SendToOtherZones(notice, now);
-  endpoints_.OnNotice(notice, now);
-  if (notice.change == load_change::loading)
-    queue_.SetReadyAt(notice.model, now + Milliseconds(notice.ready_in_ms));
+  ApplyNotice(notice, now);
   boost::asio::post(loop_, [this] { queue_.WakeAll(); });
 }
 
@@ -462,8 +458,7 @@
   const time_point now = boot_clock::now();
   const peer_digest digest = MakeDigest(now);
   const vm_id holder = orders_.lease().holder();
-  peers_.SendToZone(digest, WithoutDemand(digest),
-                    {peers_.Speaker(now), holder});
+  peers_.SendDigest(digest, holder, now);
   summary_.OnDigest(digest, now);
   if (peers_.IsSpeaker(now)) {
     peer_digest sum = summary_.Make(now);
@@ -525,16 +520,13 @@
 // Few nodes of each zone read the store's tables for the others, speak for the
 // zone and watch the placement lease.
 void gateway_node::TakeDuties(time_point now) {
-  if (now - started_at_ <= kSettling) {
-    endpoint_rows_.SetPolling(false);
-    site_rows_.SetPolling(false);
-    orders_.SetCandidate(false);
-    return;
-  }
+  const bool settled = now - started_at_ > kSettling;
   const int64_t rank = peers_.RankInZone(now);
-  endpoint_rows_.SetPolling(rank < kEndpointReaders);
-  site_rows_.SetPolling(rank < kSiteReaders);
-  orders_.SetCandidate(rank < kPlacementCandidates);
+  endpoint_rows_.SetPolling(settled && rank < kEndpointReaders);
+  site_rows_.SetPolling(settled && rank < kSiteReaders);
+  orders_.SetCandidate(settled && rank < kPlacementCandidates);
+  if (!settled)
+    return;
   // Ranks behind the duties change without effect.
   const int64_t duty_rank = std::min(rank, kSiteReaders);
   if (duty_rank == duty_rank_)
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -61,6 +61,7 @@
 
   void Tick();
   void TakeDuties(time_point now);
+  void ApplyNotice(const load_notice& notice, time_point now);
   void WatchSignals();
   void Reload();
   void ContinueStop();
--- a/packages/gateway/src/peer_group.cc
+++ b/packages/gateway/src/peer_group.cc
@@ -21,6 +21,8 @@
 constexpr duration kGoneAfter = Seconds(20);
 // Time that a registered node has to be heard for the first time.
 constexpr duration kUnheardAfter = Seconds(5);
+// Bytes of a datagram with rows; larger changes are fetched over a connection.
+constexpr std::size_t kMostDatagramBytes = 8192;
 // Nodes to which each node passes on what is spread in a zone.
 constexpr std::size_t kSpreadFanout = 4;
 // Nodes of a zone without a known speaker that are tried at a time.
@@ -74,7 +76,7 @@
 }
 
 void peer_group::OnDatagram(std::size_t length) {
-  const std::string bytes(buffer_.data(), length);
+  const std::string_view bytes(buffer_.data(), length);
   const auto envelope = DecodePeerMessage(bytes);
   if (!envelope)
     return NoteUnreadable();
@@ -176,11 +178,12 @@
   return vm_id("zone/" + zone.value());
 }
 
-void peer_group::SendBytes(const std::string& bytes,
+void peer_group::SendBytes(std::string_view bytes,
                            const udp::endpoint& address) {
   // A full queue drops the datagram; the next digest replaces it.
   boost::system::error_code ignored;
-  socket_.send_to(boost::asio::buffer(bytes), address, 0, ignored);
+  socket_.send_to(boost::asio::buffer(bytes.data(), bytes.size()), address, 0,
+                  ignored);
 }
 
 std::vector<std::pair<duty_rank, udp::endpoint>> peer_group::SpreadOrder(
@@ -196,7 +199,18 @@
 }
 
 void peer_group::SpreadInZone(const peer_message& message) {
-  const std::string bytes = EncodePeerMessage(message, self_);
+  SpreadBytes(EncodePeerMessage(message, self_));
+}
+
+void peer_group::SpreadChanges(table_changes changes) {
+  const std::string bytes = EncodePeerMessage(changes, self_);
+  if (bytes.size() <= kMostDatagramBytes)
+    return SpreadBytes(bytes);
+  changes.rows.clear();
+  SpreadInZone(changes);
+}
+
+void peer_group::SpreadBytes(std::string_view bytes) {
   const auto order = SpreadOrder(self_);
   for (std::size_t i = 0; i < std::min(order.size(), kSpreadFanout); ++i)
     SendBytes(bytes, order[i].second);
@@ -210,7 +224,7 @@
 // The nodes in the order of their ranks form a tree, in which each has
 // kSpreadFanout children of higher ranks; so nothing goes round in circles,
 // even while nodes disagree on who is there.
-void peer_group::PassOn(const vm_id& origin, const std::string& bytes) {
+void peer_group::PassOn(const vm_id& origin, std::string_view bytes) {
   const auto order = SpreadOrder(origin);
   const duty_rank own = RankOf(self_, processor_);
   const auto place = static_cast<std::size_t>(
@@ -223,17 +237,15 @@
     SendBytes(bytes, order[i].second);
 }
 
-void peer_group::SendToZone(const peer_message& full,
-                            const peer_message& brief,
-                            const std::vector<vm_id>& needs_full) {
-  const std::string full_bytes = EncodePeerMessage(full);
-  const std::string brief_bytes = EncodePeerMessage(brief);
+void peer_group::SendDigest(const peer_digest& digest,
+                            const vm_id& holder,
+                            time_point now) {
+  const std::string full = EncodePeerMessage(digest);
+  const std::string brief = EncodePeerMessage(WithoutDemand(digest));
+  const vm_id speaker = Speaker(now);
   for (const auto& [node, peer] : peers_) {
-    if (peer.zone != zone_)
-      continue;
-    const bool gets_full = std::find(needs_full.begin(), needs_full.end(),
-                                     node) != needs_full.end();
-    SendBytes(gets_full ? full_bytes : brief_bytes, peer.address);
+    if (peer.zone == zone_)
+      SendBytes(node == speaker || node == holder ? full : brief, peer.address);
   }
 }
 
--- a/packages/gateway/src/peer_group.h
+++ b/packages/gateway/src/peer_group.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <tuple>
 #include <utility>
 #include <vector>
@@ -92,11 +93,14 @@
   // Brings the message to all nodes of the zone: a few get it from this node
   // and pass it on, so that no node's link carries it for the whole zone.
   void SpreadInZone(const peer_message& message);
-  // Sends `full` to the nodes of the zone that `needs_full` names and `brief`
-  // to the others.
-  void SendToZone(const peer_message& full,
-                  const peer_message& brief,
-                  const std::vector<vm_id>& needs_full);
+  // The same for changes of a table, without their rows if these are too large
+  // for a datagram.
+  void SpreadChanges(table_changes changes);
+  // Sends this node's digest to the nodes of the zone: with demand to the
+  // speaker and the holder of placement, without it to the others.
+  void SendDigest(const peer_digest& digest,
+                  const vm_id& holder,
+                  time_point now);
   // Sends to the speakers of the other zones, all but `except`.
   void SendToOtherZones(const peer_message& message,
                         time_point now,
@@ -133,13 +137,14 @@
   void NoteDigest(const peer_digest& digest, bool from_other_zone);
   void NoteNode(const peer_digest& digest, time_point now);
   // Passes on what another node of the zone spreads.
-  void PassOn(const vm_id& origin, const std::string& bytes);
+  void PassOn(const vm_id& origin, std::string_view bytes);
   // The nodes of the zone that are heard, but for `origin`, by rank.
   std::vector<std::pair<duty_rank, boost::asio::ip::udp::endpoint>> SpreadOrder(
       const vm_id& origin) const;
   bool IsReachable(const zone_speaker& speaker, time_point now) const;
   bool IsLive(const peer_state& peer, time_point now) const;
-  void SendBytes(const std::string& bytes,
+  void SpreadBytes(std::string_view bytes);
+  void SendBytes(std::string_view bytes,
                  const boost::asio::ip::udp::endpoint& address);
 
   vm_id self_;
--- a/packages/gateway/src/placement_planner.cc
+++ b/packages/gateway/src/placement_planner.cc
@@ -87,20 +87,17 @@
   return used;
 }
 
-bool placement_planner::Closing(const engine_state& engine,
+bool placement_planner::Ordered(const engine_state& engine,
+                                order_kind kind,
                                 const model_id& model) const {
-  return engine.pending && engine.pending->order.kind == order_kind::unload &&
+  return engine.pending && engine.pending->order.kind == kind &&
          engine.pending->order.adapter.empty() &&
          engine.pending->order.model == model;
 }
 
 bool placement_planner::Loading(const engine_state& engine,
                                 const model_id& model) const {
-  if (engine.intent == model)
-    return true;
-  return engine.pending && engine.pending->order.kind == order_kind::load &&
-         engine.pending->order.adapter.empty() &&
-         engine.pending->order.model == model;
+  return engine.intent == model || Ordered(engine, order_kind::load, model);
 }
 
 bool placement_planner::OnTheWay(const model_id& model) const {
@@ -122,7 +119,7 @@
     if (!Usable(engine))
       continue;
     for (const model_id& model : engine.residents) {
-      if (!Closing(engine, model))
+      if (!Ordered(engine, order_kind::unload, model))
         ++models_[model].replicas;
     }
     if (engine.intent)
@@ -140,7 +137,7 @@
   for (const auto& [id, engine] : engines_) {
     if (!Usable(engine))
       continue;
-    if (Resident(engine, model) && !Closing(engine, model))
+    if (Resident(engine, model) && !Ordered(engine, order_kind::unload, model))
       ++state.replicas;
     state.on_the_way = state.on_the_way || Loading(engine, model);
   }
--- a/packages/gateway/src/placement_planner_state.cc
+++ b/packages/gateway/src/placement_planner_state.cc
@@ -18,11 +18,6 @@
 // Demand is averaged over this time: long enough for rare models, short enough
 // to follow a shift of demand.
 constexpr double kRateSeconds = 10.0;
-// A node that has not reported for this long no longer counts.
-constexpr duration kNodeSilence = Seconds(3);
-// Nodes that have to find an engine unreachable, so that one that is cut off
-// does not speak for all.
-constexpr int64_t kReportersNeeded = 2;
 // What a node urgently wants is in its digests from then on.
 constexpr duration kUrgentHolds = Milliseconds(500);
 // Time that an adapter takes to load while few are under way (site's sheet),
@@ -286,7 +281,7 @@
   adapters_waiting_.clear();
   std::map<endpoint_id, int64_t> unreachable;
   for (const auto& [node, report] : nodes_) {
-    if (now - report.heard_at > kNodeSilence)
+    if (now - report.heard_at > kReportHolds)
       continue;
     for (const endpoint_id& engine : report.unreachable)
       unreachable[engine] += report.whole_zone ? kReportersNeeded : 1;
--- a/packages/gateway/src/table_copy.cc
+++ b/packages/gateway/src/table_copy.cc
@@ -15,12 +15,10 @@
                           revision version) {
   if (exists_ && version < version_)
     return false;
-  exists_ = true;
-  rows_ = std::move(rows);
-  version_ = version;
-  for (const auto& [key, row] : rows_)
-    last_change_ = std::max(last_change_, row.version);
-  BeginHistory(version_);
+  revision last_change = last_change_;
+  for (const auto& [key, row] : rows)
+    last_change = std::max(last_change, row.version);
+  Replace(std::move(rows), version, last_change);
   return true;
 }
 
@@ -56,13 +54,10 @@
   const revision last_change(changes.last_change);
   if (exists_ && (version <= version_ || last_change <= last_change_))
     return outcome::unchanged;
-  exists_ = true;
-  rows_.clear();
+  std::map<std::string, table_row> rows;
   for (const changed_row& row : changes.rows)
-    rows_[row.key] = {row.key, row.value, revision(row.version), false};
-  version_ = version;
-  last_change_ = last_change;
-  BeginHistory(version_);
+    rows[row.key] = {row.key, row.value, revision(row.version), false};
+  Replace(std::move(rows), version, last_change);
   return outcome::changed;
 }
 
@@ -113,9 +108,15 @@
   removals_.erase(removals_.begin());
 }
 
-void table_copy::BeginHistory(revision from) {
+void table_copy::Replace(std::map<std::string, table_row> rows,
+                         revision version,
+                         revision last_change) {
+  exists_ = true;
+  rows_ = std::move(rows);
+  version_ = version;
+  last_change_ = last_change;
   removals_.clear();
-  history_from_ = from;
+  history_from_ = version;
 }
 
 }  // namespace jasminepath::gateway
--- a/packages/gateway/src/table_copy.h
+++ b/packages/gateway/src/table_copy.h
@@ -47,8 +47,10 @@
   outcome TakeWhole(const table_changes& changes);
   bool Apply(const table_row& row);
   void NoteRemoval(const table_row& row);
-  // Forgets removals, since those before `from` are not all known.
-  void BeginHistory(revision from);
+  // Begins anew with all rows; removals before are not all known.
+  void Replace(std::map<std::string, table_row> rows,
+               revision version,
+               revision last_change);
 
   std::string table_;
   std::map<std::string, table_row> rows_;
--- a/packages/gateway/src/zone_summary.cc
+++ b/packages/gateway/src/zone_summary.cc
@@ -5,13 +5,6 @@
 namespace jasminepath::gateway {
 namespace {
 
-// Silence after which a node's running and waiting requests no longer count.
-constexpr duration kNodeSilence = Seconds(3);
-
-// Nodes that have to find an endpoint unreachable, so that one that is cut off
-// does not speak for all.
-constexpr int64_t kReportersNeeded = 2;
-
 // What a rising count has gained; a smaller one is that of a new process.
 int64_t Gain(int64_t before, int64_t now, bool restarted) {
   return restarted || now < before ? now : now - before;
@@ -57,7 +50,7 @@
   std::map<uint64_t, int64_t> crashes;
   std::map<endpoint_id, int64_t> unreachable;
   for (const auto& [node, state] : nodes_) {
-    if (now - state.heard_at > kNodeSilence)
+    if (now - state.heard_at > kReportHolds)
       continue;
     for (const endpoint_use& use : state.last.endpoints)
       running[{use.endpoint, use.model}] += use.running;
--- a/packages/gateway/tests/peer_group_test.cc
+++ b/packages/gateway/tests/peer_group_test.cc
@@ -46,7 +46,7 @@
       digest.zone = node->zone;
       digest.processor = node->processor;
       digest.incarnation = 1;
-      node->peers.SendToZone(digest, digest, {});
+      node->peers.SendDigest(digest, {}, boot_clock::now());
     }
     RunUntil([this] {
       for (const auto& node : nodes_) {
