--- a/packages/gateway/tests/peer_digest_test.cc
+++ b/packages/gateway/tests/peer_digest_test.cc
@@ -1,6 +1,11 @@
 #include "jasminepath/gateway/peer_digest.h"
 
 #include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <set>
+#include <string>
 
 namespace jasminepath::gateway {
 namespace {
@@ -40,6 +45,23 @@
   BOOST_TEST((*read == peer_envelope{digest, vm_id("n3")}));
 }
 
+// The fuzzer starts from one message of each kind.
+BOOST_AUTO_TEST_CASE(FuzzCorpusHoldsOneMessageOfEachKind) {
+  const std::filesystem::path corpus =
+      std::filesystem::path(JASMINEPATH_SOURCE_DIR) /
+      "fuzz/corpus/peer_message";
+  std::set<std::size_t> kinds;
+  for (const auto& file : std::filesystem::directory_iterator(corpus)) {
+    std::ifstream in(file.path(), std::ios::binary);
+    const std::string bytes{std::istreambuf_iterator<char>(in),
+                            std::istreambuf_iterator<char>()};
+    const auto read = DecodePeerMessage(bytes);
+    BOOST_TEST_REQUIRE(read.has_value(), file.path().string());
+    kinds.insert(read->message.index());
+  }
+  BOOST_TEST(kinds.size() == std::variant_size_v<peer_message>);
+}
+
 // A list of 145 endpoints, or a configuration of 300 models, has to fit into
 // datagrams and links of 10 Mbit/s.
 BOOST_AUTO_TEST_CASE(RowsTravelCompressed) {
