Let adapters that wait for the same places take turns

Digests say what waited up to 300 ms ago, so an adapter that was just loaded still counted as waited for; with more of them than places, each answer made the next one displace another. An adapter now stays for 500 ms, the missing ones come in the order in which they began to be missing, and of all engines with the model the adapter used longest ago goes.

--- a/packages/gateway/include/jasminepath/gateway/placement_planner.h
+++ b/packages/gateway/include/jasminepath/gateway/placement_planner.h
@@ -186,9 +186,14 @@
   void PlaceReplicas(time_point now, std::vector<engine_order>& orders);
   void PlaceCopies(time_point now, std::vector<engine_order>& orders);
   void PlaceAdapters(time_point now, std::vector<engine_order>& orders);
+  std::vector<model_key> AdaptersToPlace(time_point now);
+  bool IsAdapterHeld(const model_key& key, time_point now);
   void PlaceAdapter(const model_key& key,
                     time_point now,
                     std::vector<engine_order>& orders);
+  void MakeRoomForAdapter(const model_id& needed,
+                          time_point now,
+                          std::vector<engine_order>& orders);
   void Give(engine_state& engine,
             order_kind kind,
             const model_id& model,
@@ -206,6 +211,7 @@
   std::map<endpoint_id, engine_state> engines_;
   std::map<model_id, model_state> models_;
   std::map<model_key, int64_t> adapters_waiting_;
+  std::map<model_key, time_point> adapters_missing_since_;
   std::map<vm_id, node_report> nodes_;
   std::map<model_key, urgent_want> urgent_;
   std::vector<load_notice> notices_;
--- a/packages/gateway/src/placement_planner.cc
+++ b/packages/gateway/src/placement_planner.cc
@@ -34,6 +34,9 @@
 // A node that still waits for an adapter that is ready is told again after this
 // time.
 constexpr duration kNoticeRepeat = Milliseconds(100);
+// How long an adapter stays at the least, so that the calls that wait for it
+// reach it and are no longer reported as waiting.
+constexpr duration kAdapterKept = Milliseconds(500);
 // Loads from the weight store ahead of any demand.
 constexpr int64_t kCopyLoadsAtOnce = 2;
 // The nodes are told at this interval how long a load will take that cannot
@@ -406,32 +409,59 @@
       }
     }
   }
-  for (const auto& [key, waiting] : adapters_waiting_)
+  for (const model_key& key : AdaptersToPlace(now))
     PlaceAdapter(key, now, orders);
 }
 
-void placement_planner::PlaceAdapter(const model_key& key,
-                                     time_point now,
-                                     std::vector<engine_order>& orders) {
-  engine_state* best = nullptr;
-  int64_t best_count = std::numeric_limits<int64_t>::max();
+// In the order in which they began to be missing, so that all of them get a
+// turn.
+std::vector<placement_planner::model_key> placement_planner::AdaptersToPlace(
+    time_point now) {
+  std::erase_if(adapters_missing_since_, [this](const auto& item) {
+    return !adapters_waiting_.contains(item.first);
+  });
+  std::vector<std::pair<time_point, model_key>> missing;
+  for (const auto& [key, waiting] : adapters_waiting_) {
+    if (IsAdapterHeld(key, now))
+      adapters_missing_since_.erase(key);
+    else
+      missing.emplace_back(
+          adapters_missing_since_.try_emplace(key, now).first->second, key);
+  }
+  std::sort(missing.begin(), missing.end());
+  std::vector<model_key> keys;
+  for (const auto& [since, key] : missing)
+    keys.push_back(key);
+  return keys;
+}
+
+// The node that waits for an adapter which is ready may have missed the notice;
+// it is told again.
+bool placement_planner::IsAdapterHeld(const model_key& key, time_point now) {
   for (auto& [id, engine] : engines_) {
     if (!Usable(engine) || !Resident(engine, key.first))
       continue;
-    auto& known = engine.adapters[key.first];
-    const auto held = std::find_if(
-        known.begin(), known.end(),
-        [&](const adapter_state& a) { return a.adapter == key.second; });
-    if (held != known.end()) {
-      // The node that waits may have missed the notice.
-      if (held->announced && now - held->ready_at > kNoticeRepeat &&
-          now - held->last_used > kNoticeRepeat) {
-        held->last_used = now;
+    for (adapter_state& held : engine.adapters[key.first]) {
+      if (held.adapter != key.second)
+        continue;
+      if (held.announced && now - held.ready_at > kNoticeRepeat &&
+          now - held.last_used > kNoticeRepeat) {
+        held.last_used = now;
         Announce(engine, key.first, key.second, load_change::ready, {});
       }
-      return;
+      return true;
     }
-    if (!Idle(engine, now))
+  }
+  return false;
+}
+
+void placement_planner::PlaceAdapter(const model_key& key,
+                                     time_point now,
+                                     std::vector<engine_order>& orders) {
+  engine_state* best = nullptr;
+  int64_t best_count = std::numeric_limits<int64_t>::max();
+  for (auto& [id, engine] : engines_) {
+    if (!Idle(engine, now) || !Resident(engine, key.first))
       continue;
     int64_t count = 0;
     for (const auto& [model, adapters] : engine.adapters)
@@ -443,23 +473,36 @@
   }
   if (best == nullptr)
     return;
-  if (best_count < spec_.adapter_slots) {
+  if (best_count < spec_.adapter_slots)
     Give(*best, order_kind::load, key.first, key.second, now, orders);
-    return;
-  }
-  // The adapter used longest ago makes way.
+  else
+    MakeRoomForAdapter(key.first, now, orders);
+}
+
+// Of the engines that hold the model, the adapter used longest ago makes way.
+void placement_planner::MakeRoomForAdapter(const model_id& needed,
+                                           time_point now,
+                                           std::vector<engine_order>& orders) {
+  engine_state* place = nullptr;
   const adapter_state* oldest = nullptr;
   model_id oldest_model;
-  for (const auto& [model, adapters] : best->adapters) {
-    for (const adapter_state& adapter : adapters) {
-      if (oldest == nullptr || adapter.last_used < oldest->last_used) {
+  for (auto& [id, engine] : engines_) {
+    if (!Idle(engine, now) || !Resident(engine, needed))
+      continue;
+    for (const auto& [model, adapters] : engine.adapters) {
+      for (const adapter_state& adapter : adapters) {
+        if (now - adapter.ready_at < kAdapterKept ||
+            (oldest != nullptr && adapter.last_used >= oldest->last_used))
+          continue;
+        place = &engine;
         oldest = &adapter;
         oldest_model = model;
       }
     }
   }
   if (oldest != nullptr)
-    Give(*best, order_kind::unload, oldest_model, oldest->adapter, now, orders);
+    Give(*place, order_kind::unload, oldest_model, oldest->adapter, now,
+         orders);
 }
 
 void placement_planner::Give(engine_state& engine,
--- a/packages/gateway/tests/engine_world.h
+++ b/packages/gateway/tests/engine_world.h
@@ -219,6 +219,16 @@
     planner.OnDigest(digest, At(now_ms));
   }
 
+  // One caller waits for each of the adapters.
+  void WantAll(const model_id& model, const std::vector<adapter_id>& adapters) {
+    peer_digest digest;
+    digest.node = vm_id("node");
+    ++arrivals;
+    for (const adapter_id& adapter : adapters)
+      digest.models.push_back({model, adapter, 1, arrivals});
+    planner.OnDigest(digest, At(now_ms));
+  }
+
   // So many requests of each model run at the first engine, and one of each has
   // come.
   void RunAtFirstEngine(
@@ -303,6 +313,7 @@
   int64_t now_ms = 0;
   int64_t arrivals = 0;
   std::vector<int64_t> store_loads;
+  int64_t orders = 0;
   // Share of orders in a hundred that get no answer and are carried out late.
   int late_percent = 0;
 
@@ -319,6 +330,7 @@
         [&](const auto& engine) { return engine.id() == order.endpoint; });
   }
   void Deliver(const engine_order& order) {
+    ++orders;
     if (static_cast<int>(random() % 100) < late_percent) {
       late.emplace_back(now_ms + 2000, order);
       answers.push_back({now_ms + 800, order, order_verdict::no_answer});
--- a/packages/gateway/tests/placement_planner_test.cc
+++ b/packages/gateway/tests/placement_planner_test.cc
@@ -1,6 +1,8 @@
 #include "jasminepath/gateway/placement_planner.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
+#include <vector>
 
 #include "engine_world.h"
 
@@ -54,6 +56,33 @@
   BOOST_TEST(!world.exceeded());
 }
 
+// A digest tells what waited up to 300 ms ago, so that each loaded adapter
+// still counts as waited for while the next ones want its place.
+BOOST_AUTO_TEST_CASE(AdaptersThatWaitForTheSamePlacesTakeTurns) {
+  constexpr int64_t kDigestMs = 300;
+  constexpr int64_t kDigests = 10;
+  engine_world world(1, 2, 1);
+  world.Run(500);
+  const std::vector<adapter_id> adapters = {adapter_id("a1"), adapter_id("a2"),
+                                            adapter_id("a3"), adapter_id("a4"),
+                                            adapter_id("a5"), adapter_id("a6")};
+  std::set<adapter_id> held;
+  for (int64_t i = 0; i < kDigests; ++i) {
+    world.WantAll(Model(1), adapters);
+    for (int64_t ms = 0; ms < kDigestMs; ms += 10) {
+      world.Run(10);
+      for (const adapter_id& adapter : adapters) {
+        if (world.engines[0].HasAdapter(Model(1), adapter))
+          held.insert(adapter);
+      }
+    }
+  }
+  BOOST_TEST(held.size() == adapters.size());
+  // A place changes hands, by two orders, once a digest at the most.
+  BOOST_TEST(world.orders <= 2 * kAdapterSlots * kDigests);
+  BOOST_TEST(!world.exceeded());
+}
+
 BOOST_AUTO_TEST_CASE(KeepsASecondReplicaOfABusyModel) {
   engine_world world(4, 8, 1);
   for (int i = 0; i < 100; ++i) {
