Add a fault soak of real nodes on loopback

Nodes run as processes of their own between stand-ins for the store and for endpoints; proxies delay, cut, reset and silence connections, signals pause, kill, stop and reload the nodes, the store goes down, loses answers and its history. Storms alternate with planned work alone, in which bounds in time hold. Promises are checked from what callers, endpoints and engines see.

--- /dev/null
+++ b/soak/soak_site.cc
@@ -0,0 +1,233 @@
+#include "soak_site.h"
+
+#include <signal.h>
+
+#include <boost/asio/ip/udp.hpp>
+#include <stdexcept>
+#include <utility>
+
+#include "jasminepath/http/server.h"
+#include "soak_bounds.h"
+
+namespace jasminepath::soak {
+namespace {
+
+using boost::asio::ip::tcp;
+using boost::asio::ip::udp;
+
+constexpr int kShops = 4;
+constexpr int kEngines = 3;
+// Ports of one node: callers, balancer, and two of its own.
+constexpr uint16_t kPortsPerNode = 4;
+constexpr uint16_t kLowestPort = 20000;
+constexpr uint16_t kPortSpan = 10000;
+// How long a request runs, and the pause between two events of a stream.
+constexpr duration kWork = Milliseconds(15);
+
+// Whether all ports of a node can be bound, for TCP and for UDP.
+bool AreFree(http::event_loop& loop, uint16_t first) {
+  const auto ip = boost::asio::ip::make_address("127.0.0.1");
+  for (uint16_t port = first; port < first + kPortsPerNode; ++port) {
+    boost::system::error_code error;
+    tcp::acceptor acceptor(loop);
+    acceptor.open(tcp::v4());
+    acceptor.bind({ip, port}, error);
+    udp::socket datagrams(loop);
+    datagrams.open(udp::v4());
+    if (!error)
+      datagrams.bind({ip, port}, error);
+    if (error)
+      return false;
+  }
+  return true;
+}
+
+tcp::endpoint EndpointOf(const std::string& address) {
+  return http::ParseEndpoint(address).value();
+}
+
+}  // namespace
+
+soak_site::soak_site(http::event_loop& loop,
+                     promise_ledger& ledger,
+                     const std::string& program,
+                     const std::string& folder,
+                     int nodes,
+                     uint64_t seed)
+    : loop_(loop), ledger_(ledger), store_(loop) {
+  for (int i = 0; i < kShops; ++i)
+    AddEndpoint("shop-" + std::to_string(i), "shop");
+  for (int i = 0; i < kEngines; ++i)
+    AddEndpoint("engine-" + std::to_string(i), "loom");
+  ChangeConfiguration();
+  for (const site_endpoint& endpoint : endpoints_)
+    Publish(endpoint);
+  // Runs with other seeds may share the machine.
+  auto port = static_cast<uint16_t>(kLowestPort + seed * 97 % kPortSpan);
+  nodes_.resize(static_cast<std::size_t>(nodes));
+  for (std::size_t i = 0; i < nodes_.size(); ++i) {
+    while (!AreFree(loop, port))
+      port = static_cast<uint16_t>(port + kPortsPerNode);
+    site_node& node = nodes_[i];
+    node.store =
+        std::make_unique<fault_proxy>(loop, EndpointOf(store_.address()));
+    const node_plan plan{"node-" + std::to_string(i), port,
+                         node.store->address()};
+    node.callers =
+        std::make_unique<fault_proxy>(loop, EndpointOf(plan.caller_address()));
+    node.process = std::make_unique<node_process>(program, folder, plan);
+    node.process->Start();
+    port = static_cast<uint16_t>(port + kPortsPerNode);
+  }
+}
+
+std::map<std::string, team_allowance> soak_site::Allowances() {
+  return {{"small", {150, 600}}};
+}
+
+void soak_site::AddEndpoint(const std::string& id, const std::string& service) {
+  site_endpoint made;
+  made.service = service;
+  made.standin =
+      std::make_unique<platform_adapter::endpoint_standin>(loop_, id);
+  made.proxy = std::make_unique<fault_proxy>(
+      loop_, EndpointOf(made.standin->own_address()));
+  made.standin->shown_address = made.proxy->address();
+  made.standin->work = kWork;
+  const std::size_t index = endpoints_.size();
+  made.standin->on_run = [this, index, id](const http::request& message) {
+    const time_point now = boot_clock::now();
+    const auto& draining_at = endpoints_[index].draining_at;
+    if (draining_at && now - *draining_at > kDrainBound &&
+        WasCalm(*draining_at))
+      ledger_.Break("leaving endpoints get nothing new", id);
+    ledger_.OnRun(id, message, now);
+  };
+  if (service == "loom") {
+    made.standin->copies = {"m1", "m2", "m3", "m4"};
+    made.standin->models = {"m" + std::to_string(index % 3 + 1)};
+    made.standin->on_order = [this, id](const std::string& holder,
+                                        int64_t fencing) {
+      ledger_.OnOrder(id, holder, fencing);
+    };
+    made.standin->on_change = [this, index, id] {
+      const site_endpoint& changed = endpoints_[index];
+      ledger_.OnHoldings(id, changed.standin->models.size(),
+                         changed.standin->adapters.size());
+      if (changed.listed && !changed.draining_at)
+        Publish(changed);
+    };
+  }
+  endpoints_.push_back(std::move(made));
+}
+
+std::string soak_site::PassingKey(int64_t version) const {
+  return "passing" + std::to_string(version);
+}
+
+std::string soak_site::Configuration() const {
+  const std::string number = std::to_string(version_);
+  std::string routes =
+      R"({"name":"order","host":"h","pathPrefix":"/order/","kind":"non_idempotent",
+  "timeoutMs":4000,"targetLatencyMs":300,"service":"shop","maxAttempts":2},
+ {"name":"look","host":"h","pathPrefix":"/look/","kind":"idempotent",
+  "timeoutMs":4000,"targetLatencyMs":300,"service":"shop","maxAttempts":2},
+ {"name":"write","host":"h","pathPrefix":"/write/","kind":"streaming",
+  "timeoutMs":6000,"targetLatencyMs":2000,"service":"loom","maxAttempts":2,
+  "resumable":true,"gapAimMs":500},)";
+  routes += R"({"name":"v)" + number + R"(","host":"h","pathPrefix":"/v)" +
+            number + R"(/","kind":"idempotent","timeoutMs":4000,
+  "targetLatencyMs":300,"service":"shop","maxAttempts":2})";
+  std::string models;
+  for (const char* model : {"m1", "m2", "m3", "m4"})
+    models += std::string(models.empty() ? "" : ",") + R"({"name":")" + model +
+              R"(","weightsMb":100,"adapterMb":1,"loadS":0.5,"diskS":0.1})";
+  const auto team = [](const std::string& name, const std::string& key,
+                       const team_allowance& allowance) {
+    return R"({"name":")" + name + R"(","apiKeys":[")" + key +
+           R"("],"plainTokens":10,"ratePerS":)" +
+           std::to_string(static_cast<int64_t>(allowance.rate_per_second)) +
+           R"(,"burst":)" +
+           std::to_string(static_cast<int64_t>(allowance.burst)) + "}";
+  };
+  const team_allowance ample{100000, 100000};
+  return R"({"version":)" + number + R"(,"routes":[)" + routes +
+         R"(],"services":[{"name":"shop"},{"name":"loom","engine":{"slots":8,
+  "weightsMb":205,"adapterSlots":4,"loadsPerS":5,"models":[)" +
+         models +
+         R"(]}}],"limits":{"maxHeaderBytes":8000,"maxBodyBytes":8000,
+  "headerTimeoutMs":3000,"idleTimeoutMs":9000},"tenants":[)" +
+         team("beads", "key1", ample) + "," +
+         team("small", "key2", Allowances().at("small")) + "," +
+         team("passing", PassingKey(version_), ample) + "]}";
+}
+
+void soak_site::ChangeConfiguration() {
+  ++version_;
+  store_.Put("op", "config", Configuration());
+  changed_at_ = boot_clock::now();
+}
+
+void soak_site::NoteDisturbance(time_point end) {
+  disturbed_until_ = std::max(disturbed_until_, end);
+}
+
+bool soak_site::WasCalm(time_point since) const {
+  return since - kContact > disturbed_until_;
+}
+
+void soak_site::Publish(const site_endpoint& endpoint) {
+  store_.Put(
+      "servers", endpoint.standin->id(),
+      endpoint.standin->Entry(endpoint.service,
+                              endpoint.draining_at ? "draining" : "ready"));
+}
+
+void soak_site::Drain(site_endpoint& endpoint) {
+  endpoint.draining_at = boot_clock::now();
+  Publish(endpoint);
+}
+
+void soak_site::Leave(site_endpoint& endpoint) {
+  endpoint.listed = false;
+  store_.Remove("servers", endpoint.standin->id());
+}
+
+void soak_site::Return(site_endpoint& endpoint) {
+  endpoint.proxy->ResetOpen();
+  endpoint.standin->Restart();
+  endpoint.draining_at.reset();
+  endpoint.listed = true;
+  Publish(endpoint);
+}
+
+void soak_site::Supervise() {
+  const time_point now = boot_clock::now();
+  for (site_node& node : nodes_) {
+    const std::string& name = node.process->plan().name;
+    const auto code = node.process->TakeEnd();
+    if (code && !node.may_end)
+      ledger_.Break("processes end only when told to",
+                    name + " ended with " + std::to_string(*code));
+    if (code && node.stopping_since && *code != 0 &&
+        WasCalm(*node.stopping_since))
+      ledger_.Break("planned stops end well",
+                    name + " ended with " + std::to_string(*code));
+    if (node.stopping_since && node.process->running() &&
+        now - *node.stopping_since > kGrace) {
+      if (WasCalm(*node.stopping_since))
+        ledger_.Break("planned stops end in time", name);
+      node.process->Signal(SIGKILL);
+    }
+    if (node.process->PeakMemoryKb() > kNodeMemoryKb)
+      ledger_.Break("nodes stay within their memory", name);
+    if (node.process->running())
+      continue;
+    node.may_end = false;
+    node.stopping_since.reset();
+    ++node.incarnation;
+    node.process->Start();
+  }
+}
+
+}  // namespace jasminepath::soak
