Read each row of the endpoint list once, find endpoints by model, space plans by size

Causes, by reading and by bench/gateway: every change of one of 999 rows read all rows again on every node, each request and each waiting call looked at all endpoints, each digest of a peer touched all endpoints, the placement holder planned with every digest, and nodes that cannot come to place models kept a planner as well.

--- /dev/null
+++ b/bench/gateway/gateway_bench.cc
@@ -0,0 +1,152 @@
+// What a node's decisions cost as the fleet grows: by the number of engines.
+
+#include <benchmark/benchmark.h>
+#include <fmt/format.h>
+
+#include <string>
+#include <vector>
+
+#include "endpoint_list.h"
+#include "endpoint_pool.h"
+#include "jasminepath/gateway/placement_planner.h"
+#include "jasminepath/platform_adapter/platform_dialect.h"
+
+namespace jasminepath::gateway {
+namespace {
+
+const service_id kService("assistant");
+constexpr int64_t kModelMb = 70000;
+constexpr int64_t kEngineMb = 230000;
+constexpr int64_t kModelsPerEngine = 3;
+
+model_id ModelAt(int64_t number) {
+  return model_id(fmt::format("model{}", number));
+}
+
+int64_t ModelCount(int64_t engines) {
+  return engines;
+}
+
+std::string EntryText(int64_t number, int64_t engines) {
+  std::string models;
+  std::string disk;
+  for (int64_t i = 0; i < kModelsPerEngine; ++i) {
+    const std::string model =
+        ModelAt((number + i * 7) % ModelCount(engines)).value();
+    models += fmt::format(R"({}{{"name":"{}","version":1,"adapters":["a1"]}})",
+                          i == 0 ? "" : ",", model);
+    disk += fmt::format(R"({}"{}")", i == 0 ? "" : ",", model);
+  }
+  return fmt::format(
+      R"({{"service":"assistant","address":"10.{}.{}.1:8100","zone":"z{}",)"
+      R"("slots":64,"state":"ready","born":1,"seq":1,"models":[{}],)"
+      R"("atHand":{{"inMemory":[],"onDisk":[{}]}}}})",
+      number / 250, number % 250, number % 3, models, disk);
+}
+
+std::map<std::string, table_row> Rows(int64_t engines) {
+  std::map<std::string, table_row> rows;
+  for (int64_t i = 0; i < engines; ++i) {
+    const std::string key = fmt::format("e{}", i);
+    rows[key] = {key, EntryText(i, engines), revision(i + 1), false};
+  }
+  return rows;
+}
+
+decoded<endpoint_entry> Decode(const std::string& key,
+                               const std::string& value) {
+  static const platform_adapter::platform_dialect speech;
+  return speech.DecodeEndpoint(key, value);
+}
+
+void IgnoreUnreadable(const table_row&, const decode_error&) {}
+
+endpoint_changes Listed(int64_t engines) {
+  endpoint_list list;
+  return list.Update(Rows(engines), Decode, IgnoreUnreadable);
+}
+
+// One row of the list has changed.
+void UpdateList(benchmark::State& state) {
+  auto rows = Rows(state.range(0));
+  endpoint_list list;
+  http::event_loop loop;
+  endpoint_pool pool(loop, zone_id("z0"));
+  int64_t version = state.range(0);
+  for (auto _ : state) {
+    rows.begin()->second.version = revision(++version);
+    pool.Apply(list.Update(rows, Decode, IgnoreUnreadable), {}, time_point{});
+  }
+}
+
+void PickEndpoint(benchmark::State& state) {
+  http::event_loop loop;
+  endpoint_pool pool(loop, zone_id("z0"));
+  pool.Apply(Listed(state.range(0)), {}, time_point{});
+  endpoint_query query;
+  query.service = kService;
+  query.affinity = 7;
+  for (auto _ : state) {
+    ++query.spread;
+    query.model = ModelAt(static_cast<int64_t>(query.spread) %
+                          ModelCount(state.range(0)));
+    benchmark::DoNotOptimize(pool.Pick(query, time_point{}));
+  }
+}
+
+void TakeDigest(benchmark::State& state) {
+  http::event_loop loop;
+  endpoint_pool pool(loop, zone_id("z0"));
+  pool.Apply(Listed(state.range(0)), {}, time_point{});
+  peer_digest digest;
+  for (int64_t i = 0; i < 10; ++i)
+    digest.endpoints.push_back({endpoint_id(fmt::format("e{}", i)), {}, 1});
+  int64_t node = 0;
+  for (auto _ : state) {
+    digest.node = vm_id(fmt::format("node{}", ++node % 100));
+    pool.OnDigest(digest);
+  }
+}
+
+void PlanPlacement(benchmark::State& state) {
+  const int64_t engines = state.range(0);
+  engine_spec spec;
+  spec.weight_mb = kEngineMb;
+  spec.adapter_slots = 8;
+  spec.loads_per_second = 1;
+  for (int64_t i = 0; i < ModelCount(engines); ++i) {
+    model_spec model;
+    model.model = ModelAt(i);
+    model.weight_mb = kModelMb;
+    model.store_load = Seconds(6);
+    spec.models.push_back(model);
+  }
+  placement_planner planner(kService);
+  planner.SetEngineSpec(spec);
+  planner.OnEndpoints(Listed(engines).listed, time_point{});
+  planner.Begin(time_point{});
+  // A tenth of the models is in use by each of a hundred nodes.
+  for (int64_t node = 0; node < 100; ++node) {
+    peer_digest digest;
+    digest.node = vm_id(fmt::format("node{}", node));
+    for (int64_t i = 0; i < 10; ++i) {
+      const int64_t at = (node * 10 + i) % engines;
+      digest.models.push_back({ModelAt(at), {}, 0, 1});
+      digest.endpoints.push_back(
+          {endpoint_id(fmt::format("e{}", at)), ModelAt(at), 1});
+    }
+    planner.OnDigest(digest, time_point{});
+  }
+  for (auto _ : state)
+    benchmark::DoNotOptimize(planner.Plan(time_point{}));
+}
+
+BENCHMARK(UpdateList)->Arg(12)->Arg(1000)->Arg(12000);
+BENCHMARK(PickEndpoint)->Arg(12)->Arg(1000)->Arg(12000);
+BENCHMARK(TakeDigest)->Arg(12)->Arg(1000)->Arg(12000);
+BENCHMARK(PlanPlacement)->Arg(12)->Arg(1000)->Arg(12000);
+
+}  // namespace
+}  // namespace jasminepath::gateway
+
+BENCHMARK_MAIN();
--- a/packages/gateway/src/endpoint_pool.cc
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -39,19 +39,22 @@
   return MixHashes(StableHash(endpoint.value()), key);
 }
 
+// Whether a notice on the model or adapter still holds.
+bool Noticed(const notice_times& notices,
+             const std::pair<model_id, adapter_id>& key,
+             time_point now) {
+  const auto found = notices.find(key);
+  const duration holds =
+      key.second.empty() ? kModelNoticeHolds : kAdapterNoticeHolds;
+  return found != notices.end() && now - found->second < holds;
+}
+
 bool Listed(const std::vector<endpoint_id>& ids, const endpoint_id& id) {
   return std::find(ids.begin(), ids.end(), id) != ids.end();
 }
 
 }  // namespace
 
-int64_t pooled_endpoint::total_running() const {
-  int64_t total = running;
-  for (const auto& [node, count] : running_of_peers)
-    total += count;
-  return total;
-}
-
 endpoint_pool::endpoint_pool(http::event_loop& loop, zone_id zone)
     : loop_(loop), zone_(std::move(zone)) {
   limits_.first_ejection = kFirstEjection;
@@ -59,55 +62,71 @@
   limits_.probes_to_return = kProbesToReturn;
 }
 
-void endpoint_pool::Apply(const std::vector<endpoint_entry>& entries,
+void endpoint_pool::Apply(const endpoint_changes& changes,
                           duration grace,
                           time_point now) {
-  std::set<endpoint_id> listed;
-  for (const endpoint_entry& entry : entries) {
-    const auto address = http::ParseEndpoint(entry.address);
-    if (!address)
-      continue;
-    listed.insert(entry.id);
-    auto& slot = endpoints_[entry.id];
-    const bool restarted =
-        slot && (slot->entry.started_at_ms != entry.started_at_ms ||
-                 slot->entry.address != entry.address);
-    if (!slot || restarted) {
-      if (restarted)
-        opened_before_ += slot->client->opened();
-      slot = std::make_shared<pooled_endpoint>();
-      slot->client = std::make_unique<http::client>(loop_, address.value());
-    }
-    if (slot->entry.models != entry.models) {
-      std::erase_if(slot->closing, [&](const auto& item) {
-        const model_id& model = item.first.first;
-        const adapter_id& adapter = item.first.second;
-        return adapter.empty() &&
-               std::none_of(entry.models.begin(), entry.models.end(),
-                            [&](const resident_model& resident) {
-                              return resident.model == model;
-                            });
-      });
-    }
-    slot->entry = entry;
-    slot->dropped_at.reset();
-  }
-  for (auto& [id, endpoint] : endpoints_) {
-    if (listed.contains(id) || endpoint->dropped_at)
-      continue;
-    endpoint->dropped_at = now + grace;
+  for (const endpoint_entry& entry : changes.listed)
+    Enlist(entry);
+  for (const endpoint_id& id : changes.removed) {
+    const auto endpoint = Find(id);
+    if (endpoint && !endpoint->dropped_at)
+      endpoint->dropped_at = now + grace;
   }
   DropMissing(now);
 }
 
+void endpoint_pool::Enlist(const endpoint_entry& entry) {
+  const auto address = http::ParseEndpoint(entry.address);
+  const auto known = Find(entry.id);
+  const bool restarted =
+      known && (known->entry.started_at_ms != entry.started_at_ms ||
+                known->entry.address != entry.address ||
+                known->entry.service != entry.service);
+  if (!address || restarted)
+    Discard(entry.id);
+  if (!address)
+    return;
+  auto& slot = endpoints_[entry.id];
+  if (!slot) {
+    slot = std::make_shared<pooled_endpoint>();
+    slot->client = std::make_unique<http::client>(loop_, address.value());
+    by_service_[entry.service].insert(entry.id);
+  }
+  if (slot->entry.models != entry.models) {
+    std::erase_if(slot->closing, [&](const auto& item) {
+      const model_id& model = item.first.first;
+      const adapter_id& adapter = item.first.second;
+      return adapter.empty() &&
+             std::none_of(entry.models.begin(), entry.models.end(),
+                          [&](const resident_model& resident) {
+                            return resident.model == model;
+                          });
+    });
+    for (const resident_model& resident : entry.models)
+      by_model_[resident.model].insert(entry.id);
+  }
+  slot->entry = entry;
+  slot->dropped_at.reset();
+}
+
+void endpoint_pool::Discard(const endpoint_id& id) {
+  const auto found = endpoints_.find(id);
+  if (found == endpoints_.end())
+    return;
+  opened_before_ += found->second->client->opened();
+  by_service_[found->second->entry.service].erase(id);
+  // Its places in by_model_ go when they are next looked at.
+  endpoints_.erase(found);
+}
+
 void endpoint_pool::DropMissing(time_point now) {
-  std::erase_if(endpoints_, [&](const auto& item) {
-    const auto& dropped_at = item.second->dropped_at;
-    if (!dropped_at || now < *dropped_at)
-      return false;
-    opened_before_ += item.second->client->opened();
-    return true;
-  });
+  std::vector<endpoint_id> gone;
+  for (const auto& [id, endpoint] : endpoints_) {
+    if (endpoint->dropped_at && now >= *endpoint->dropped_at)
+      gone.push_back(id);
+  }
+  for (const endpoint_id& id : gone)
+    Discard(id);
 }
 
 void endpoint_pool::OnNotice(const load_notice& notice, time_point now) {
@@ -121,6 +140,7 @@
       endpoint->announced.erase(key);
       return;
     case load_change::ready:
+      by_model_[notice.model].insert(notice.endpoint);
       endpoint->closing.erase(key);
       endpoint->announced[key] = now;
       return;
@@ -131,37 +151,52 @@
 }
 
 void endpoint_pool::OnDigest(const peer_digest& digest) {
-  for (auto& [id, endpoint] : endpoints_)
-    endpoint->running_of_peers.erase(digest.node);
+  ForgetUses(digest.node);
+  auto& uses = uses_of_peers_[digest.node];
   for (const endpoint_use& use : digest.endpoints) {
-    if (const auto endpoint = Find(use.endpoint))
-      endpoint->running_of_peers[digest.node] += use.running;
+    const auto endpoint = Find(use.endpoint);
+    if (!endpoint)
+      continue;
+    endpoint->running_of_peers += use.running;
+    uses.emplace_back(endpoint, use.running);
   }
 }
 
+void endpoint_pool::ForgetUses(const vm_id& node) {
+  const auto known = uses_of_peers_.find(node);
+  if (known == uses_of_peers_.end())
+    return;
+  for (const auto& [endpoint, running] : known->second)
+    endpoint->running_of_peers -= running;
+  known->second.clear();
+}
+
 void endpoint_pool::ForgetPeer(const vm_id& node) {
-  for (auto& [id, endpoint] : endpoints_)
-    endpoint->running_of_peers.erase(node);
+  ForgetUses(node);
+  uses_of_peers_.erase(node);
+}
+
+bool endpoint_pool::Lists(const pooled_endpoint& endpoint,
+                          const model_id& model,
+                          time_point now) {
+  if (model.empty())
+    return true;
+  const auto& models = endpoint.entry.models;
+  return Noticed(endpoint.announced, {model, {}}, now) ||
+         std::any_of(models.begin(), models.end(),
+                     [&](const resident_model& m) { return m.model == model; });
 }
 
 bool endpoint_pool::Holds(const pooled_endpoint& endpoint,
                           const endpoint_query& query,
-                          time_point now) const {
+                          time_point now) {
   if (query.model.empty())
     return true;
-  const auto noticed = [&](const auto& notices, const adapter_id& adapter) {
-    const auto found = notices.find({query.model, adapter});
-    const duration holds =
-        adapter.empty() ? kModelNoticeHolds : kAdapterNoticeHolds;
-    return found != notices.end() && now - found->second < holds;
+  const auto noticed = [&](const notice_times& notices,
+                           const adapter_id& adapter) {
+    return Noticed(notices, {query.model, adapter}, now);
   };
-  if (noticed(endpoint.closing, {}))
-    return false;
-  const auto& models = endpoint.entry.models;
-  const auto resident = std::find_if(
-      models.begin(), models.end(),
-      [&](const resident_model& m) { return m.model == query.model; });
-  if (resident == models.end() && !noticed(endpoint.announced, {}))
+  if (noticed(endpoint.closing, {}) || !Lists(endpoint, query.model, now))
     return false;
   if (query.adapter.empty())
     return true;
@@ -169,9 +204,13 @@
     return false;
   if (noticed(endpoint.announced, query.adapter))
     return true;
-  return resident != models.end() &&
-         std::find(resident->adapters.begin(), resident->adapters.end(),
-                   query.adapter) != resident->adapters.end();
+  const auto& models = endpoint.entry.models;
+  return std::any_of(
+      models.begin(), models.end(), [&](const resident_model& m) {
+        return m.model == query.model &&
+               std::find(m.adapters.begin(), m.adapters.end(), query.adapter) !=
+                   m.adapters.end();
+      });
 }
 
 double endpoint_pool::Score(const pooled_endpoint& endpoint,
@@ -188,21 +227,36 @@
   return score + kLoadSpread * place;
 }
 
-endpoint_pool::choice endpoint_pool::Pick(const endpoint_query& query,
-                                          time_point now) {
-  std::vector<std::shared_ptr<pooled_endpoint>> able;
-  bool any = false;
-  for (const auto& [id, endpoint] : endpoints_) {
-    if (endpoint->entry.service != query.service || endpoint->entry.draining)
-      continue;
-    any = true;
-    if (now < endpoint->unreachable_until)
+std::vector<endpoint_pool::endpoint_pointer> endpoint_pool::Able(
+    const endpoint_query& query,
+    time_point now) {
+  std::vector<endpoint_pointer> able;
+  auto& ids =
+      query.model.empty() ? by_service_[query.service] : by_model_[query.model];
+  for (auto id = ids.begin(); id != ids.end();) {
+    const auto endpoint = Find(*id);
+    if (!endpoint || !Lists(*endpoint, query.model, now)) {
+      id = ids.erase(id);
       continue;
-    if (Holds(*endpoint, query, now))
+    }
+    ++id;
+    if (endpoint->entry.service == query.service && !endpoint->entry.draining &&
+        now >= endpoint->unreachable_until && Holds(*endpoint, query, now))
       able.push_back(endpoint);
   }
-  if (able.empty())
+  return able;
+}
+
+endpoint_pool::choice endpoint_pool::Pick(const endpoint_query& query,
+                                          time_point now) {
+  const std::vector<endpoint_pointer> able = Able(query, now);
+  if (able.empty()) {
+    const auto& ids = by_service_[query.service];
+    const bool any = std::any_of(
+        ids.begin(), ids.end(),
+        [this](const endpoint_id& id) { return !Find(id)->entry.draining; });
     return {nullptr, any ? pick_miss::not_loaded : pick_miss::no_endpoint};
+  }
   // Endpoints that are out of rotation are used only if there are no others.
   std::vector<std::shared_ptr<pooled_endpoint>> sound;
   for (const auto& endpoint : able) {
--- a/packages/gateway/src/endpoint_pool.h
+++ b/packages/gateway/src/endpoint_pool.h
@@ -10,6 +10,7 @@
 #include <utility>
 #include <vector>
 
+#include "endpoint_list.h"
 #include "jasminepath/base/boot_time.h"
 #include "jasminepath/decision/routing/endpoint_health.h"
 #include "jasminepath/decision/routing/routing_choice.h"
@@ -40,6 +41,9 @@
                          const endpoint_query&) = default;
 };
 
+// When the placement authority said something of a model or adapter.
+using notice_times = std::map<std::pair<model_id, adapter_id>, time_point>;
+
 // One endpoint as this node sees it.
 struct pooled_endpoint {
   endpoint_entry entry;
@@ -47,19 +51,19 @@
   decision::endpoint_health health;
   // Requests of this node and of its peers that run there.
   int64_t running = 0;
-  std::map<vm_id, int64_t> running_of_peers;
+  int64_t running_of_peers = 0;
   // Those of this node by model.
   std::map<model_id, int64_t> running_by_model;
   // It took no connection; asked again from then on.
   time_point unreachable_until{};
   // Models and adapters about to be dropped, until the entry shows it.
-  std::map<std::pair<model_id, adapter_id>, time_point> closing;
+  notice_times closing;
   // Models and adapters said to be ready ahead of the entry, and when.
-  std::map<std::pair<model_id, adapter_id>, time_point> announced;
+  notice_times announced;
   // Set while the entry is missing from the list: when it counts as gone.
   std::optional<time_point> dropped_at;
 
-  int64_t total_running() const;
+  int64_t total_running() const { return running + running_of_peers; }
 };
 
 // Why no endpoint was picked.
@@ -76,11 +80,9 @@
  public:
   endpoint_pool(http::event_loop& loop, zone_id zone);
 
-  // Takes the whole list as it stands now. Entries that are missing are kept
-  // for `grace`, in which they may come back.
-  void Apply(const std::vector<endpoint_entry>& entries,
-             duration grace,
-             time_point now);
+  // Takes what has changed in the list. Removed entries are kept for `grace`,
+  // in which they may come back.
+  void Apply(const endpoint_changes& changes, duration grace, time_point now);
   void OnNotice(const load_notice& notice, time_point now);
   void OnDigest(const peer_digest& digest);
   void ForgetPeer(const vm_id& node);
@@ -113,20 +115,42 @@
   // Endpoints that take no connection now.
   std::vector<endpoint_id> Unreachable(time_point now) const;
   std::size_t opened_connections() const;
+  std::size_t size() const { return endpoints_.size(); }
 
  private:
-  bool Holds(const pooled_endpoint& endpoint,
-             const endpoint_query& query,
-             time_point now) const;
+  // Whether the endpoint's entry or a notice says that it has the model.
+  static bool Lists(const pooled_endpoint& endpoint,
+                    const model_id& model,
+                    time_point now);
+  // Whether it is ready for the query's model and adapter.
+  static bool Holds(const pooled_endpoint& endpoint,
+                    const endpoint_query& query,
+                    time_point now);
   // Expected load of the endpoint for the request, in running requests.
   double Score(const pooled_endpoint& endpoint,
                const endpoint_query& query,
                bool preferred) const;
 
+  using endpoint_pointer = std::shared_ptr<pooled_endpoint>;
+
+  void Enlist(const endpoint_entry& entry);
+  void Discard(const endpoint_id& id);
+  // Takes back what a peer has said of its running requests.
+  void ForgetUses(const vm_id& node);
+  // Endpoints that may serve the query as far as their service and models go.
+  std::vector<endpoint_pointer> Able(const endpoint_query& query,
+                                     time_point now);
+
   http::event_loop& loop_;
   zone_id zone_;
   decision::routing_limits limits_;
-  std::map<endpoint_id, std::shared_ptr<pooled_endpoint>> endpoints_;
+  std::map<endpoint_id, endpoint_pointer> endpoints_;
+  std::map<service_id, std::set<endpoint_id>> by_service_;
+  // Endpoints that hold a model, are said to, or did until lately.
+  std::map<model_id, std::set<endpoint_id>> by_model_;
+  // What each peer has last said of its running requests.
+  std::map<vm_id, std::vector<std::pair<endpoint_pointer, int64_t>>>
+      uses_of_peers_;
   std::size_t opened_before_ = 0;
 };
 
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -291,22 +291,21 @@
 }
 
 void gateway_node::OnEndpointRows() {
-  std::vector<endpoint_entry> entries;
-  for (const auto& [key, row] : endpoint_rows_.copy().rows()) {
-    auto decoded = speech_.DecodeEndpoint(key, row.value);
-    if (decoded) {
-      entries.push_back(std::move(decoded).value());
-      continue;
-    }
-    log_.Write(report::log_level::warning, "endpoint_unreadable",
-               {{"endpoint", key},
-                {"row_version", row.version.count()},
-                {"reason", decoded.error().message}});
-  }
+  const endpoint_changes changes = endpoint_list_.Update(
+      endpoint_rows_.copy().rows(),
+      [this](const std::string& key, const std::string& value) {
+        return speech_.DecodeEndpoint(key, value);
+      },
+      [this](const table_row& row, const decode_error& error) {
+        log_.Write(report::log_level::warning, "endpoint_unreadable",
+                   {{"endpoint", row.key},
+                    {"row_version", row.version.count()},
+                    {"reason", error.message}});
+      });
   const time_point now = boot_clock::now();
   const bool unsteady =
       store_.failures() > 0 && now - store_.failed_at() < kStoreUnsteady;
-  endpoints_.Apply(entries, unsteady ? kReturnGrace : duration::zero(), now);
+  endpoints_.Apply(changes, unsteady ? kReturnGrace : duration::zero(), now);
   orders_.OnEndpoints(now);
   orders_.Tick(now);
   queue_.WakeAll();
@@ -524,7 +523,7 @@
   const int64_t rank = peers_.RankInZone(now);
   endpoint_rows_.SetPolling(settled && rank < kEndpointReaders);
   site_rows_.SetPolling(settled && rank < kSiteReaders);
-  orders_.SetCandidate(settled && rank < kPlacementCandidates);
+  orders_.SetCandidate(settled && rank < kPlacementCandidates, now);
   if (!settled)
     return;
   // Ranks behind the duties change without effect.
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -7,6 +7,7 @@
 #include <string>
 
 #include "call_context.h"
+#include "endpoint_list.h"
 #include "fact_relay.h"
 #include "jasminepath/base/random.h"
 #include "jasminepath/gateway/gateway_app.h"
@@ -84,6 +85,7 @@
   store_client store_;
   table_follower site_rows_;
   table_follower endpoint_rows_;
+  endpoint_list endpoint_list_;
   order_desk orders_;
   peer_group peers_;
   zone_summary summary_;
--- a/packages/gateway/src/order_desk.cc
+++ b/packages/gateway/src/order_desk.cc
@@ -11,6 +11,9 @@
 // Time limit of an order and of a call for an engine's state; both are
 // answered at once.
 constexpr duration kEngineCallTimeout = Milliseconds(800);
+// Least time between two plans, for each endpoint: a plan takes a twentieth of
+// it (bench/gateway), whatever the size of the fleet.
+constexpr duration kPlanSpacing = std::chrono::microseconds(20);
 
 std::string_view NameOf(order_kind kind) {
   return kind == order_kind::load ? "load" : "unload";
@@ -78,7 +81,17 @@
   OnEndpoints(boot_clock::now());
 }
 
+void order_desk::SetCandidate(bool candidate, time_point now) {
+  lease_.SetCandidate(candidate);
+  if (std::exchange(candidate_, candidate) == candidate || !candidate)
+    return;
+  OnEndpoints(now);
+}
+
+// Nodes that cannot come to place models are spared the work.
 void order_desk::OnEndpoints(time_point now) {
+  if (!candidate_ && !lease_.Holds(now))
+    return;
   const auto entries = endpoints_.Entries();
   for (auto& [service, planner] : planners_)
     planner.OnEndpoints(entries, now);
@@ -192,6 +205,9 @@
 }
 
 void order_desk::GiveOrders(time_point now) {
+  if (now < next_plan_at_)
+    return;
+  next_plan_at_ = now + kPlanSpacing * static_cast<int64_t>(endpoints_.size());
   for (auto& [service, planner] : planners_) {
     for (engine_order& order : planner.Plan(now))
       Give(std::move(order));
--- a/packages/gateway/src/order_desk.h
+++ b/packages/gateway/src/order_desk.h
@@ -48,7 +48,7 @@
   void BeginStop(time_point now);
 
   // Whether this node may become the one that places models.
-  void SetCandidate(bool candidate) { lease_.SetCandidate(candidate); }
+  void SetCandidate(bool candidate, time_point now);
   bool holds(time_point now) const { return lease_.Holds(now); }
   const placement_lease& lease() const { return lease_; }
   int64_t orders() const { return orders_; }
@@ -79,6 +79,8 @@
   std::function<void(const load_notice&)> on_notice_;
   // Calls to engines under way.
   std::list<std::unique_ptr<http::whole_call>> calls_;
+  time_point next_plan_at_{};
+  bool candidate_ = false;
   bool held_before_ = false;
   vm_id holder_before_;
   int64_t orders_ = 0;
--- /dev/null
+++ b/packages/gateway/tests/endpoint_list_test.cc
@@ -0,0 +1,83 @@
+#include "endpoint_list.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace jasminepath::gateway {
+namespace {
+
+// Rows whose value is the endpoint's address; "bad" cannot be read.
+struct list_fixture {
+  void Put(const std::string& key, const std::string& value, int64_t version) {
+    rows[key] = {key, value, revision(version), false};
+  }
+  endpoint_changes Update() {
+    read.clear();
+    unreadable.clear();
+    return list.Update(
+        rows,
+        [this](const std::string& key,
+               const std::string& value) -> decoded<endpoint_entry> {
+          read.push_back(key);
+          if (value == "bad")
+            return failure(decode_error{"not an entry"});
+          endpoint_entry entry;
+          entry.id = endpoint_id(key);
+          entry.address = value;
+          return entry;
+        },
+        [this](const table_row& row, const decode_error&) {
+          unreadable.push_back(row.key);
+        });
+  }
+
+  endpoint_list list;
+  std::map<std::string, table_row> rows;
+  std::vector<std::string> read;
+  std::vector<std::string> unreadable;
+};
+
+using names = std::vector<std::string>;
+
+BOOST_FIXTURE_TEST_CASE(ReadsEachVersionOfARowOnce, list_fixture) {
+  Put("e1", "a", 1);
+  Put("e2", "b", 2);
+  BOOST_TEST(Update().listed.size() == 2);
+  BOOST_TEST((Update() == endpoint_changes{}));
+  BOOST_TEST(read.empty());
+  Put("e2", "c", 3);
+  const endpoint_changes changes = Update();
+  BOOST_TEST((read == names{"e2"}));
+  BOOST_TEST_REQUIRE(changes.listed.size() == 1);
+  BOOST_TEST(changes.listed[0].address == "c");
+  BOOST_TEST(changes.removed.empty());
+}
+
+BOOST_FIXTURE_TEST_CASE(TellsWhatIsGone, list_fixture) {
+  Put("e1", "a", 1);
+  Put("e2", "b", 2);
+  Update();
+  rows.erase("e1");
+  const endpoint_changes changes = Update();
+  BOOST_TEST(changes.listed.empty());
+  BOOST_TEST((changes.removed == std::vector{endpoint_id("e1")}));
+  BOOST_TEST((Update() == endpoint_changes{}));
+}
+
+BOOST_FIXTURE_TEST_CASE(AnEntryThatTurnsUnreadableNamesNoEndpoint,
+                        list_fixture) {
+  Put("e1", "a", 1);
+  Update();
+  Put("e1", "bad", 2);
+  BOOST_TEST((Update().removed == std::vector{endpoint_id("e1")}));
+  BOOST_TEST((unreadable == names{"e1"}));
+  // It is told of once only.
+  BOOST_TEST((Update() == endpoint_changes{}));
+  BOOST_TEST(unreadable.empty());
+  Put("e1", "b", 3);
+  BOOST_TEST(Update().listed.size() == 1);
+}
+
+}  // namespace
+}  // namespace jasminepath::gateway
--- a/packages/gateway/tests/gateway_parts_test.cc
+++ b/packages/gateway/tests/gateway_parts_test.cc
@@ -30,7 +30,7 @@
 struct pool_fixture {
   pool_fixture() : pool(loop, zone_id("z1")) {
     entries = {MakeEntry("e1", "z1"), MakeEntry("e2", "z2")};
-    pool.Apply(entries, {}, At(0));
+    pool.Apply({entries, {}}, {}, At(0));
     query.service = service_id("assistant");
     query.model = model_id("m");
   }
@@ -62,13 +62,13 @@
 
 BOOST_FIXTURE_TEST_CASE(PicksNoDrainingEndpoint, pool_fixture) {
   entries[0].draining = true;
-  pool.Apply(entries, {}, At(0));
+  pool.Apply({entries, {}}, {}, At(0));
   BOOST_TEST(Picked() == "e2");
 }
 
 BOOST_FIXTURE_TEST_CASE(PicksOnlyWhereModelAndAdapterAreReady, pool_fixture) {
   entries[0].models.clear();
-  pool.Apply(entries, {}, At(0));
+  pool.Apply({entries, {}}, {}, At(0));
   BOOST_TEST(Picked() == "e2");
   query.adapter = adapter_id("a2");
   BOOST_TEST((pool.Pick(query, At(0)).miss == pick_miss::not_loaded));
@@ -107,13 +107,13 @@
              At(0));
   }
   BOOST_TEST(Picked() == "e2");
-  pool.Apply({entries[0]}, {}, At(0));
+  pool.Apply({{}, {endpoint_id("e2")}}, {}, At(0));
   BOOST_TEST(Picked() == "e1");
 }
 
 // The list shows an endpoint for some time after it has died.
 BOOST_FIXTURE_TEST_CASE(LeavesAnUnreachableEndpointAlone, pool_fixture) {
-  pool.Apply({entries[0]}, {}, At(0));
+  pool.Apply({{}, {endpoint_id("e2")}}, {}, At(0));
   auto endpoint = pool.Find(endpoint_id("e1"));
   pool.Begin(*endpoint, model_id("m"));
   pool.End(*endpoint, model_id("m"), decision::attempt_end::connect_failed,
@@ -125,7 +125,7 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(KeepsAMissingEntryForItsGrace, pool_fixture) {
-  pool.Apply({entries[1]}, Milliseconds(1800), At(0));
+  pool.Apply({{}, {endpoint_id("e1")}}, Milliseconds(1800), At(0));
   BOOST_TEST(Picked() == "e1");
   pool.DropMissing(At(1800));
   BOOST_TEST(Picked(1800) == "e2");
@@ -134,10 +134,37 @@
 BOOST_FIXTURE_TEST_CASE(ARestartedEndpointBeginsAnew, pool_fixture) {
   pool.Begin(*pool.Find(endpoint_id("e1")), model_id("m"));
   entries[0].started_at_ms = 2;
-  pool.Apply(entries, {}, At(0));
+  pool.Apply({entries, {}}, {}, At(0));
   BOOST_TEST(pool.Find(endpoint_id("e1"))->running == 0);
 }
 
+// A peer's load goes with the endpoint that it was at.
+BOOST_FIXTURE_TEST_CASE(ARestartedEndpointHasNoLoadOfPeers, pool_fixture) {
+  peer_digest digest;
+  digest.node = vm_id("peer");
+  digest.endpoints = {{endpoint_id("e1"), model_id("m"), 3}};
+  pool.OnDigest(digest);
+  entries[0].started_at_ms = 2;
+  pool.Apply({{entries[0]}, {}}, {}, At(0));
+  BOOST_TEST(pool.Find(endpoint_id("e1"))->running_of_peers == 0);
+  pool.ForgetPeer(vm_id("peer"));
+  BOOST_TEST(pool.Find(endpoint_id("e1"))->running_of_peers == 0);
+}
+
+// The index by model follows entries, notices and restarts.
+BOOST_FIXTURE_TEST_CASE(FindsAModelAgainAfterItHasMoved, pool_fixture) {
+  entries[0].models.clear();
+  pool.Apply({{entries[0]}, {}}, {}, At(0));
+  pool.Apply({{}, {endpoint_id("e2")}}, {}, At(0));
+  BOOST_TEST(Picked() == "");
+  entries[0].models = {{model_id("m"), 1, {}}};
+  pool.Apply({{entries[0]}, {}}, {}, At(0));
+  BOOST_TEST(Picked() == "e1");
+  entries[0].started_at_ms = 2;
+  pool.Apply({entries, {}}, {}, At(0));
+  BOOST_TEST(Picked() == "e1");
+}
+
 BOOST_AUTO_TEST_CASE(NodesAgreeOnTheEngineWithTheSharedParts) {
   http::event_loop loop;
   std::vector<endpoint_entry> entries;
@@ -150,8 +177,8 @@
     query.affinity = affinity;
     endpoint_pool first(loop, zone_id("z1"));
     endpoint_pool second(loop, zone_id("z1"));
-    first.Apply(entries, {}, At(0));
-    second.Apply({entries[2], entries[0], entries[1]}, {}, At(0));
+    first.Apply({entries, {}}, {}, At(0));
+    second.Apply({{entries[2], entries[0], entries[1]}, {}}, {}, At(0));
     // Two requests with the same long beginning.
     query.shared_tokens = 3000;
     query.spread = 2 * affinity;
@@ -167,8 +194,9 @@
   http::event_loop loop;
   endpoint_pool pool(loop, zone_id("z1"));
   pool.Apply(
-      {MakeEntry("e1", "z1"), MakeEntry("e2", "z1"), MakeEntry("e3", "z1")}, {},
-      At(0));
+      {{MakeEntry("e1", "z1"), MakeEntry("e2", "z1"), MakeEntry("e3", "z1")},
+       {}},
+      {}, At(0));
   endpoint_query query;
   query.service = service_id("assistant");
   query.model = model_id("m");
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -1,7 +1,7 @@
 // Runs real nodes between stand-ins on loopback, harms them from outside as a
 // seed says, and checks the promises from what callers and endpoints see.
 
-#include <boost/asio/post.hpp>
+#include <algorithm>
 #include <cxxopts.hpp>
 #include <filesystem>
 #include <iostream>
@@ -26,6 +26,8 @@
 // How long callers are watched after the recovery.
 constexpr duration kWatch = Seconds(4);
 constexpr duration kSupervision = Milliseconds(50);
+// Details that the report shows of each broken promise.
+constexpr std::size_t kDetailsShown = 5;
 
 struct soak_plan {
   std::string program;
@@ -93,8 +95,12 @@
     for (const auto& [name, count] : injector_.counts())
       std::cout << " " << name << "=" << count;
     std::cout << "\n";
-    for (const std::string& line : ledger_.violations())
-      std::cout << "  broken: " << line << "\n";
+    for (const auto& [promise, details] : ledger_.violations()) {
+      std::cout << "  broken: " << promise << ", " << details.size()
+                << " times\n";
+      for (std::size_t i = 0; i < std::min(details.size(), kDetailsShown); ++i)
+        std::cout << "    " << details[i] << "\n";
+    }
     return ledger_.violations().empty() ? kExitKept : kExitBroken;
   }
 
--- a/soak/promise_ledger.cc
+++ b/soak/promise_ledger.cc
@@ -21,7 +21,7 @@
 
 void promise_ledger::Break(const std::string& promise,
                            const std::string& detail) {
-  violations_.push_back(promise + ": " + detail);
+  violations_[promise].push_back(detail);
 }
 
 void promise_ledger::OnSent(const planned_call& call, time_point now) {
--- a/soak/promise_ledger.h
+++ b/soak/promise_ledger.h
@@ -71,7 +71,7 @@
 };
 
 // Holds what callers, endpoints and engines see against the promises, and
-// keeps a line for each one that was broken.
+// keeps what was seen of each one that was broken.
 class promise_ledger {
  public:
   // Allowances of the teams whose use is bounded.
@@ -101,7 +101,10 @@
   // Another part of the run found a broken promise.
   void Break(const std::string& promise, const std::string& detail);
 
-  const std::vector<std::string>& violations() const { return violations_; }
+  // Broken promises with their details.
+  const std::map<std::string, std::vector<std::string>>& violations() const {
+    return violations_;
+  }
   const soak_counts& counts() const { return counts_; }
 
  private:
@@ -124,7 +127,7 @@
   std::map<std::string, history> calls_;
   std::map<std::string, std::deque<use>> uses_;
   std::map<int64_t, std::string> holders_;
-  std::vector<std::string> violations_;
+  std::map<std::string, std::vector<std::string>> violations_;
   soak_counts counts_;
 };
 
