Send digests at half the pace in large zones; spread large changes in several datagrams

At 300 machines a zone has 100 nodes, each of which hears all the others every 300 ms: with 40 nodes in one zone on loopback a node spent 0.9% of a core on little else, which grows with the square of the zone. Beyond 30 nodes in a zone the interval now grows with them, to 600 ms; nodes with duties and those whose calls wait keep 300 ms, and digests say how long it is, so that silence is measured against it. Changes too large for a datagram were fetched by every node of the zone from one reader, which compressed the same answer for each; they now travel in pieces, and the answer is kept.

--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -75,6 +75,8 @@
   uint64_t incarnation = 0;
   // Rises with each digest of an incarnation.
   uint64_t sequence = 0;
+  // Until its next digest at the latest, in milliseconds.
+  int64_t interval_ms = 300;
   // IP:PORT of its facts.
   std::string facts_address;
   // Versions of the last change of the configuration and of the endpoint list
--- a/packages/gateway/src/fact_relay.cc
+++ b/packages/gateway/src/fact_relay.cc
@@ -33,9 +33,16 @@
   return kPathPrefix + table.copy().table();
 }
 
-std::string fact_relay::Answer(const table_follower& table,
-                               std::string_view target) {
-  return EncodePeerMessage(table.copy().ChangesSince(KnownChange(target)));
+const std::string& fact_relay::Answer(const table_follower& table,
+                                      std::string_view target) {
+  const table_copy& copy = table.copy();
+  const revision after = KnownChange(target);
+  known_answer& known = answers_[copy.table()];
+  if (known.body.empty() || known.after != after ||
+      known.last_change != copy.last_change())
+    known = {after, copy.last_change(),
+             EncodePeerMessage(copy.ChangesSince(after))};
+  return known.body;
 }
 
 void fact_relay::Fetch(const std::string& facts_address,
--- a/packages/gateway/src/fact_relay.h
+++ b/packages/gateway/src/fact_relay.h
@@ -2,6 +2,7 @@
 #define JASMINEPATH_GATEWAY_SRC_FACT_RELAY_H_
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -24,7 +25,7 @@
   // which change of it the peer knows.
   static std::string PathOfTable(const table_follower& table);
   // The body of the answer to such a request.
-  static std::string Answer(const table_follower& table,
+  const std::string& Answer(const table_follower& table,
                             std::string_view target);
 
   // Fetches what the table lacks from a peer, unless a fetch is under way.
@@ -37,8 +38,17 @@
                  const vm_id& peer,
                  table_follower& table);
 
+  // The last answer about a table. After a large change many nodes ask for the
+  // same, and it takes time to compress.
+  struct known_answer {
+    revision after;
+    revision last_change;
+    std::string body;
+  };
+
   http::event_loop& loop_;
   report::event_log& log_;
+  std::map<std::string, known_answer> answers_;
   std::unique_ptr<http::client> client_;
   std::unique_ptr<http::whole_call> call_;
 };
--- a/packages/gateway/src/fleet_rate_limiter.cc
+++ b/packages/gateway/src/fleet_rate_limiter.cc
@@ -5,8 +5,9 @@
 namespace jasminepath::gateway {
 namespace {
 
-// Silence after which a peer counts as cut off: several times the interval of
-// digests.
+// Silence after which a peer is charged its even part; its next report replaces
+// the charge. Longer ones let teams exceed their rates while many nodes are cut
+// off.
 constexpr duration kPeerSilence = Milliseconds(1000);
 // Debt is bounded to this many seconds of the rate, so that a burst seen late
 // does not shut a team out for long.
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -38,6 +38,11 @@
 // Interval of digests; one is sent at once when a call begins to wait for a
 // model.
 constexpr duration kDigestInterval = Milliseconds(300);
+// Nodes of a zone up to which all of them keep this interval; in larger ones it
+// grows with the number of nodes, as each of them hears all the others, up to a
+// multiple that still shows a team's use in time.
+constexpr int64_t kNodesAtFullPace = 30;
+constexpr int64_t kSlowestPace = 2;
 // Nodes that are taken to share the rates before the others are known.
 constexpr int64_t kNodesBeforeKnown = 64;
 // Pause before a failed registration is tried again.
@@ -240,8 +245,7 @@
                           metrics_.Text(Gauges()));
   for (const table_follower* table : {&site_rows_, &endpoint_rows_}) {
     if (path == fact_relay::PathOfTable(*table))
-      return reply->Respond({200, {}},
-                            fact_relay::Answer(*table, message.target));
+      return reply->Respond({200, {}}, relay_.Answer(*table, message.target));
   }
   reply->Respond({404, {}}, "");
 }
@@ -436,6 +440,7 @@
   digest.processor = settings_.processor;
   digest.incarnation = incarnation_;
   digest.sequence = ++sequence_;
+  digest.interval_ms = ToMilliseconds(DigestInterval(now));
   digest.facts_address = settings_.metrics_address();
   digest.site_change = site_rows_.copy().last_change().count();
   digest.endpoints_change = endpoint_rows_.copy().last_change().count();
@@ -467,6 +472,7 @@
     sum.whole_zone = true;
     sum.incarnation = digest.incarnation;
     sum.sequence = digest.sequence;
+    sum.interval_ms = ToMilliseconds(kDigestInterval);
     sum.facts_address = digest.facts_address;
     sum.site_change = digest.site_change;
     sum.endpoints_change = digest.endpoints_change;
@@ -488,8 +494,19 @@
     orders_.Tick(now);
 }
 
+// Nodes with duties are missed soon, and so are calls that wait.
+duration gateway_node::DigestInterval(time_point now) const {
+  const bool hurries = duty_rank_ < kSiteReaders || orders_.holds(now) ||
+                       queue_.size() > 0 || stopping_;
+  if (hurries)
+    return kDigestInterval;
+  const duration wanted =
+      kDigestInterval * peers_.zone_node_count() / kNodesAtFullPace;
+  return std::clamp(wanted, kDigestInterval, kDigestInterval * kSlowestPace);
+}
+
 void gateway_node::ScheduleDigest() {
-  digest_timer_.Start(kDigestInterval, [this] {
+  digest_timer_.Start(DigestInterval(boot_clock::now()), [this] {
     SendDigest();
     ScheduleDigest();
   });
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -58,6 +58,8 @@
   void SendDigest();
   void SendWant();
   void TellZoneOfChanges(const table_changes& changes);
+  // Until the next digest.
+  duration DigestInterval(time_point now) const;
   void ScheduleDigest();
 
   void Tick();
--- a/packages/gateway/src/peer_digest.cc
+++ b/packages/gateway/src/peer_digest.cc
@@ -13,7 +13,7 @@
 namespace {
 
 // Format of the messages; another one is not read.
-constexpr uint32_t kFormat = 4;
+constexpr uint32_t kFormat = 5;
 // Deepest nesting of arrays in a message.
 constexpr std::size_t kMostDepth = 8;
 // Largest table that is read from a peer.
@@ -44,10 +44,10 @@
 requires std::is_same_v<std::remove_const_t<Message>, peer_digest>
 void ForEachField(Message& m, Visitor&& visit) {
   visit(m.node, m.zone, m.processor, m.nodes, m.whole_zone, m.incarnation,
-        m.sequence, m.facts_address, m.site_change, m.endpoints_change,
-        m.authority_holder, m.authority_epoch, m.authority_version, m.teams,
-        m.endpoints, m.models, m.unreachable, m.crashes, m.has_demand,
-        m.leaving);
+        m.sequence, m.interval_ms, m.facts_address, m.site_change,
+        m.endpoints_change, m.authority_holder, m.authority_epoch,
+        m.authority_version, m.teams, m.endpoints, m.models, m.unreachable,
+        m.crashes, m.has_demand, m.leaving);
 }
 template <typename Message, typename Visitor>
 requires std::is_same_v<std::remove_const_t<Message>, load_notice>
--- a/packages/gateway/src/peer_group.cc
+++ b/packages/gateway/src/peer_group.cc
@@ -13,9 +13,6 @@
 
 using boost::asio::ip::udp;
 
-// Silence after which a node counts as cut off and the next one speaks for its
-// zone: several times the interval of digests.
-constexpr duration kSilentAfter = Milliseconds(1100);
 // Silence after which it counts as gone for good: longer than the usual
 // partition.
 constexpr duration kGoneAfter = Seconds(20);
@@ -23,11 +20,20 @@
 constexpr duration kUnheardAfter = Seconds(5);
 // Bytes of a datagram with rows; larger changes are fetched over a connection.
 constexpr std::size_t kMostDatagramBytes = 8192;
+// Rows that are spread at most; with more of them, a fetch by each node loads
+// the links less than the datagrams.
+constexpr std::size_t kMostSpreadRows = 400;
 // Nodes to which each node passes on what is spread in a zone.
 constexpr std::size_t kSpreadFanout = 4;
 // Nodes of a zone without a known speaker that are tried at a time.
 constexpr std::size_t kSpeakersTried = 3;
 
+// Silence after which a node that sends a digest every `interval` counts as cut
+// off: three of them may be lost on full links.
+constexpr duration SilentAfter(duration interval) {
+  return interval * 11 / 3;
+}
+
 duty_rank RankOf(const vm_id& node, int64_t processor) {
   return {processor, StableHash(node.value() + "/speaker")};
 }
@@ -129,6 +135,7 @@
   if (from_other_zone)
     speaker.address = sender_;
   speaker.heard_at = now;
+  speaker.silent_after = SilentAfter(Milliseconds(digest.interval_ms));
   speaker.nodes = digest.nodes;
 }
 
@@ -155,6 +162,7 @@
   peer.processor = digest.processor;
   peer.incarnation = digest.incarnation;
   peer.heard_at = now;
+  peer.silent_after = SilentAfter(Milliseconds(digest.interval_ms));
 }
 
 void peer_group::Add(const vm_id& node,
@@ -206,8 +214,21 @@
   const std::string bytes = EncodePeerMessage(changes, self_);
   if (bytes.size() <= kMostDatagramBytes)
     return SpreadBytes(bytes);
-  changes.rows.clear();
-  SpreadInZone(changes);
+  if (changes.whole || changes.rows.size() < 2 ||
+      changes.rows.size() > kMostSpreadRows) {
+    changes.rows.clear();
+    return SpreadInZone(changes);
+  }
+  // Rows are in the order of their versions, so that the first half makes the
+  // table complete up to its last row.
+  const auto middle = changes.rows.begin() + std::ssize(changes.rows) / 2;
+  table_changes first = changes;
+  first.rows.assign(changes.rows.begin(), middle);
+  first.last_change = first.complete_to = first.rows.back().version;
+  changes.rows.erase(changes.rows.begin(), middle);
+  changes.previous_change = first.last_change;
+  SpreadChanges(std::move(first));
+  SpreadChanges(std::move(changes));
 }
 
 void peer_group::SpreadBytes(std::string_view bytes) {
@@ -298,12 +319,13 @@
                              time_point now) const {
   // A node that has never spoken for its zone has heard the others through its
   // own speaker only and does not know where they are.
-  return speaker.address.port() != 0 && now - speaker.heard_at <= kSilentAfter;
+  return speaker.address.port() != 0 &&
+         now - speaker.heard_at <= speaker.silent_after;
 }
 
 bool peer_group::IsLive(const peer_state& peer, time_point now) const {
   return peer.zone == zone_ && !peer.leaving && peer.heard_at != time_point{} &&
-         now - peer.heard_at <= kSilentAfter;
+         now - peer.heard_at <= peer.silent_after;
 }
 
 int64_t peer_group::RankInZone(time_point now) const {
@@ -338,7 +360,7 @@
         gone.push_back(node);
       continue;
     }
-    if (!peer.silent && now - peer.heard_at > kSilentAfter) {
+    if (!peer.silent && now - peer.heard_at > peer.silent_after) {
       peer.silent = true;
       log_.Write(report::log_level::warning, "peer_silent",
                  {{"peer", node.value()},
--- a/packages/gateway/src/peer_group.h
+++ b/packages/gateway/src/peer_group.h
@@ -30,6 +30,8 @@
   // When it was first known and last heard; the epoch if never.
   time_point known_at{};
   time_point heard_at{};
+  // Silence after which it counts as cut off.
+  duration silent_after{};
   bool silent = true;
   bool leaving = false;
 };
@@ -50,6 +52,7 @@
 struct zone_speaker {
   boost::asio::ip::udp::endpoint address;
   time_point heard_at{};
+  duration silent_after{};
   // Nodes of that zone.
   int64_t nodes = 1;
 };
--- a/packages/gateway/tests/fleet_rate_limiter_test.cc
+++ b/packages/gateway/tests/fleet_rate_limiter_test.cc
@@ -42,6 +42,7 @@
       digest.node = vm_id("n" + std::to_string(from));
       digest.incarnation = incarnation;
       digest.sequence = ++sequences[from];
+      digest.interval_ms = interval_ms;
       digest.teams = nodes[from].Used();
       for (std::size_t to = 0; to < nodes.size(); ++to) {
         const bool from_cut = static_cast<int>(from) < cut_below;
@@ -57,6 +58,7 @@
   std::vector<fleet_rate_limiter> nodes;
   std::vector<uint64_t> sequences;
   uint64_t incarnation = 1;
+  int64_t interval_ms = 300;
   // Nodes that exchange nothing.
   int isolated = 0;
 };
@@ -85,7 +87,7 @@
   std::mt19937 random(7);
   std::vector<std::pair<int64_t, int64_t>> taken;
   for (int64_t ms = 0; ms < kLengthMs; ms += 10) {
-    if (ms % 300 == 0)
+    if (ms % fleet.interval_ms == 0)
       fleet.Exchange(ms, ms >= cut_from_ms && ms < cut_to_ms ? 3 : 0);
     // 35 requests of 9,000 tokens a second: 4.5 times the rate.
     if (random() % 100 < 35) {
@@ -119,6 +121,7 @@
 int64_t MostOverManyNodes(int isolated, bool restart) {
   constexpr int kNodes = 80;
   limited_fleet fleet(kNodes);
+  fleet.interval_ms = 600;
   const auto start = [&fleet](int64_t ms) {
     for (auto& node : fleet.nodes) {
       node = fleet_rate_limiter();
@@ -134,7 +137,7 @@
     if (restart && ms == 10000)
       start(ms);
     fleet.isolated = ms >= 5000 && ms < 17000 ? isolated : 0;
-    if (ms % 600 == 0)
+    if (ms % fleet.interval_ms == 0)
       fleet.Exchange(ms, 0);
     // 160 requests of 9,000 tokens a second.
     for (int i = 0; i < (random() % 10 < 6 ? 2 : 1); ++i) {
--- a/packages/gateway/tests/peer_digest_test.cc
+++ b/packages/gateway/tests/peer_digest_test.cc
@@ -20,6 +20,7 @@
   digest.whole_zone = true;
   digest.incarnation = 3;
   digest.sequence = 4;
+  digest.interval_ms = 600;
   digest.facts_address = "10.0.0.1:7601";
   digest.site_change = 5;
   digest.endpoints_change = 6;
--- a/packages/gateway/tests/peer_group_test.cc
+++ b/packages/gateway/tests/peer_group_test.cc
@@ -5,10 +5,13 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 #include <utility>
 #include <vector>
 
+#include "table_copy.h"
+
 namespace jasminepath::gateway {
 namespace {
 
@@ -77,6 +80,9 @@
   }
   peer_group& At(std::size_t i) { return nodes_[i]->peers; }
   const vm_id& NameOf(std::size_t i) const { return nodes_[i]->name; }
+  const std::vector<table_changes>& ChangesAt(std::size_t i) const {
+    return nodes_[i]->changes;
+  }
   const std::vector<peer_digest>& DigestsAt(std::size_t i) const {
     return nodes_[i]->digests;
   }
@@ -113,6 +119,7 @@
     peer_group peers;
     int notices = 0;
     std::vector<peer_digest> digests;
+    std::vector<table_changes> changes;
   };
 
   void Start(const std::string& name, const zone_id& zone, int64_t processor) {
@@ -126,6 +133,8 @@
         ++started.notices;
       if (const auto* digest = std::get_if<peer_digest>(&message))
         started.digests.push_back(*digest);
+      if (const auto* changes = std::get_if<table_changes>(&message))
+        started.changes.push_back(*changes);
     });
   }
 
@@ -165,6 +174,35 @@
     BOOST_TEST(zone.NoticesAt(i) == 1);
 }
 
+// What does not fit into one datagram is no reason for all nodes to fetch it.
+BOOST_AUTO_TEST_CASE(LargeChangesTravelInSeveralDatagrams) {
+  constexpr int64_t kRows = 300;
+  peers_fixture zone({3});
+  zone.Introduce();
+  std::mt19937_64 random(5);
+  table_changes changes;
+  changes.table = "servers";
+  changes.previous_change = 10;
+  for (int64_t i = 1; i <= kRows; ++i) {
+    std::string value;
+    for (int word = 0; word < 6; ++word)
+      value += std::to_string(random());
+    changes.rows.push_back({"e" + std::to_string(i), value, 10 + i, false});
+  }
+  changes.last_change = changes.complete_to = 10 + kRows;
+  zone.At(0).SpreadChanges(changes);
+  zone.RunUntilQuiet();
+  for (std::size_t i = 1; i < zone.size(); ++i) {
+    BOOST_TEST(zone.ChangesAt(i).size() > 1);
+    table_copy copy("servers");
+    copy.TakeRead({{"e0", {"e0", "old", revision(10), false}}}, revision(10));
+    for (const table_changes& piece : zone.ChangesAt(i))
+      BOOST_TEST((copy.Take(piece) == table_copy::outcome::changed));
+    BOOST_TEST(copy.rows().size() == static_cast<std::size_t>(kRows + 1));
+    BOOST_TEST(copy.last_change() == revision(10 + kRows));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(DemandGoesToThePlacementHolderAlone) {
   peers_fixture peers({1, 4});
   peers.Introduce();
--- a/soak/caller.cc
+++ b/soak/caller.cc
@@ -189,7 +189,7 @@
     return;
   place->leaving = std::make_unique<http::timer>(loop_);
   place->leaving->Start(Milliseconds(Below(kLeavesWithinMs)), [this, place] {
-    ledger_.OnLeft(place->plan.id);
+    ledger_.OnLeft();
     const open_call left = std::move(*place);
     calls_.erase(place);
   });
--- a/soak/node_process.cc
+++ b/soak/node_process.cc
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -65,6 +66,8 @@
     throw std::runtime_error("cannot start " + program_);
   if (pid_ > 0)
     return;
+  // A soak that is ended leaves no nodes behind.
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
   // Connections of this process must not stay open in the other one.
   ::close_range(STDERR_FILENO + 1, ~0U, 0);
   const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
--- a/soak/promise_ledger.cc
+++ b/soak/promise_ledger.cc
@@ -29,10 +29,6 @@
   calls_[call.id] = {call, now, 0, false};
 }
 
-void promise_ledger::OnLeft(const std::string&) {
-  ++counts_.left;
-}
-
 void promise_ledger::OnEnd(const planned_call& call,
                            const call_end& end,
                            bool calm,
--- a/soak/promise_ledger.h
+++ b/soak/promise_ledger.h
@@ -79,7 +79,7 @@
 
   void OnSent(const planned_call& call, time_point now);
   // The caller has gone before the end.
-  void OnLeft(const std::string& id);
+  void OnLeft() { ++counts_.left; }
   // `calm`: nothing unplanned has disturbed the call or the time before it.
   void OnEnd(const planned_call& call,
              const call_end& end,
