Give the placement lease up at once at a planned stop

The answer to a renewal that was on its way passed for that to the release, so that the row kept the old holder and its successors waited for a whole lease; and a release waited for the time of the next renewal. Ruled out: store and candidates (docs/incidents/inc-293b.md). Two tests that fail before.

--- a/packages/gateway/include/jasminepath/gateway/placement_lease.h
+++ b/packages/gateway/include/jasminepath/gateway/placement_lease.h
@@ -77,8 +77,9 @@
                       time_point now);
   // An engine refused an order because of a higher epoch.
   void OnFenced();
-  // The process ends; gives the lease up if it is held.
-  void Release() { releasing_ = true; }
+  // The process ends; gives the lease up if it is held, as soon as the store
+  // has answered what is under way.
+  void Release();
 
   // Whether this node may give orders now.
   bool Holds(time_point now) const;
@@ -100,6 +101,8 @@
   bool held_ = false;
   bool in_flight_ = false;
   bool releasing_ = false;
+  // The write that gives the lease up has been sent.
+  bool release_sent_ = false;
   // The last renewal failed for want of an answer, not because of a conflict.
   bool store_failed_ = false;
   bool must_read_ = false;
--- a/packages/gateway/src/placement_lease.cc
+++ b/packages/gateway/src/placement_lease.cc
@@ -64,6 +64,11 @@
   store_failed_ = false;
 }
 
+void placement_lease::Release() {
+  releasing_ = true;
+  next_try_ = time_point{};
+}
+
 lease_step placement_lease::Next(time_point now) {
   if (in_flight_ || now < next_try_)
     return {};
@@ -73,8 +78,10 @@
     step.what =
         must_read_ ? lease_step::action::read : lease_step::action::write;
     step.row = row_;
-    if (releasing_)
+    if (releasing_ && step.what == lease_step::action::write) {
       step.row.holder = vm_id();
+      release_sent_ = true;
+    }
     step.expected = version_;
   } else if (releasing_ || !candidate_) {
     return {};
@@ -133,7 +140,7 @@
   version_ = version;
   known_ = true;
   store_failed_ = false;
-  if (releasing_) {
+  if (release_sent_) {
     StepDown();
     return;
   }
--- a/packages/gateway/tests/placement_lease_test.cc
+++ b/packages/gateway/tests/placement_lease_test.cc
@@ -181,6 +181,36 @@
   BOOST_TEST(second.Holds(At(4000)));
 }
 
+// The renewal that is on its way must not pass for the release.
+BOOST_AUTO_TEST_CASE(GivesUpWhatIsBeingRenewed) {
+  lease_store store;
+  auto node = MakeNode("a");
+  for (int64_t ms = 0; ms < 1000; ms += 50)
+    Turn(node, store, At(ms));
+  int64_t ms = 1000;
+  lease_step renewal;
+  for (; renewal.what != action::write; ms += 50)
+    renewal = node.Next(At(ms));
+  node.Release();
+  BOOST_TEST(!node.Holds(At(ms)));
+  store.Serve(node, renewal, At(ms));
+  BOOST_TEST(store.row->holder == vm_id("a"));
+  Turn(node, store, At(ms));
+  BOOST_TEST(store.row->holder.empty());
+}
+
+BOOST_AUTO_TEST_CASE(GivesUpWithoutWaitingForTheNextRenewal) {
+  lease_store store;
+  auto node = MakeNode("a");
+  for (int64_t ms = 0; ms < 1000; ms += 50)
+    Turn(node, store, At(ms));
+  // Renewed just now.
+  BOOST_TEST((node.Next(At(1000)).what == action::none));
+  node.Release();
+  Turn(node, store, At(1000));
+  BOOST_TEST(store.row->holder.empty());
+}
+
 // Any mix of lost answers, outages, freezes and lost digests: no two nodes ever
 // hold the same epoch, and the epoch that the row shows never falls.
 BOOST_AUTO_TEST_CASE(NoTwoNodesEverHoldTheSameEpoch) {
