Drop endpoints that leave without a word in time after an outage

The store had been back for 3.6 s, but within 4 s of its last failure every missing entry was kept for 1.8 s, and nodes learn of it up to 0.3 s late. Entries that lapsed in an outage are back about two seconds after it, so the grace now ends 3 s after the last failure. Test EntriesAreKeptOnlyUntilThoseOfAnOutageAreBack; the old rule gives 1,800 ms where it asks for none. Endpoints that come, leave and go now have a log line, which the search lacked.

--- a/packages/gateway/src/endpoint_pool.cc
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -18,6 +18,13 @@
 constexpr duration kUnreachableTime = Milliseconds(1000);
 // How long a model is not asked for where it was found missing.
 constexpr duration kNotHeldTime = Milliseconds(1500);
+// Time in which an entry that is missing after an outage of the store may come
+// back (site's rule: about two seconds after the store's return).
+constexpr duration kReturnGrace = Milliseconds(1800);
+// How long after the last failed call entries may still come back: the longest
+// pause between two calls, and the two seconds. Whoever leaves later leaves for
+// good, also in the time in which the store counts as unsteady to others.
+constexpr duration kStoreUnsteady = Seconds(3);
 // What a request in another zone (to an engine, to a plain service) costs in
 // running requests.
 constexpr double kOtherZoneCost = 3.0;
@@ -55,6 +62,11 @@
 
 }  // namespace
 
+duration GraceForMissing(time_point store_failed_at, time_point now) {
+  return std::clamp<duration>(store_failed_at + kStoreUnsteady - now,
+                              duration::zero(), kReturnGrace);
+}
+
 endpoint_pool::endpoint_pool(http::event_loop& loop, zone_id zone)
     : loop_(loop), zone_(std::move(zone)) {
   limits_.first_ejection = kFirstEjection;
--- a/packages/gateway/src/endpoint_pool.h
+++ b/packages/gateway/src/endpoint_pool.h
@@ -66,6 +66,11 @@
   int64_t total_running() const { return running + running_of_peers; }
 };
 
+// How long an entry that goes missing now is kept, if the last call that the
+// store did not serve ended at `store_failed_at`: entries that lapse in an
+// outage come back after it.
+duration GraceForMissing(time_point store_failed_at, time_point now);
+
 // Why no endpoint was picked.
 enum class pick_miss {
   none,         // One was picked.
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -47,11 +47,6 @@
 constexpr int64_t kNodesBeforeKnown = 64;
 // Pause before a failed registration is tried again.
 constexpr duration kRegisterRetry = Milliseconds(500);
-// Time in which an entry that is missing after an outage of the store may come
-// back (site's rule: about two seconds after the store's return).
-constexpr duration kReturnGrace = Milliseconds(1800);
-// How long after a failed call the store counts as not yet steady.
-constexpr duration kStoreUnsteady = Seconds(4);
 // Kept back at the end of the grace period for the exit itself.
 constexpr duration kExitMargin = Milliseconds(700);
 constexpr duration kStopCheck = Milliseconds(100);
@@ -307,14 +302,35 @@
                     {"reason", error.message}});
       });
   const time_point now = boot_clock::now();
-  const bool unsteady =
-      store_.failures() > 0 && now - store_.failed_at() < kStoreUnsteady;
-  endpoints_.Apply(changes, unsteady ? kReturnGrace : duration::zero(), now);
+  LogEndpointChanges(changes);
+  const duration grace = store_.failures() > 0
+                             ? GraceForMissing(store_.failed_at(), now)
+                             : duration::zero();
+  endpoints_.Apply(changes, grace, now);
   orders_.OnEndpoints(changes, now);
   orders_.Tick(now);
   queue_.WakeAll();
 }
 
+// Says which endpoints come, leave and go; what they hold changes too often.
+void gateway_node::LogEndpointChanges(const endpoint_changes& changes) {
+  const auto log = [this](const endpoint_id& id, std::string_view state) {
+    log_.Write(report::log_level::info, "endpoint",
+               {{"endpoint", id.value()},
+                {"state", state},
+                {"list_version", endpoint_rows_.copy().last_change().count()}});
+  };
+  for (const endpoint_id& id : changes.removed)
+    log(id, "unlisted");
+  for (const endpoint_entry& entry : changes.listed) {
+    const auto known = endpoints_.Find(entry.id);
+    const bool is_new =
+        !known || known->entry.started_at_ms != entry.started_at_ms;
+    if (is_new || known->entry.draining != entry.draining)
+      log(entry.id, entry.draining ? "draining" : "ready");
+  }
+}
+
 void gateway_node::Register() {
   config::json_value::object fields;
   fields.push_back(
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -45,6 +45,7 @@
 
   void OnSiteRows();
   void OnEndpointRows();
+  void LogEndpointChanges(const endpoint_changes& changes);
   void Register();
   void OnRegistered(const store_answer& answer);
   void ReadPeers();
--- a/packages/gateway/tests/gateway_parts_test.cc
+++ b/packages/gateway/tests/gateway_parts_test.cc
@@ -131,6 +131,15 @@
   BOOST_TEST(Picked(1800) == "e2");
 }
 
+// An endpoint may leave without a word; the site allows two seconds, also when
+// the store has been back for three.
+BOOST_AUTO_TEST_CASE(EntriesAreKeptOnlyUntilThoseOfAnOutageAreBack) {
+  const time_point failed_at = At(0);
+  BOOST_TEST((GraceForMissing(failed_at, At(100)) == Milliseconds(1800)));
+  BOOST_TEST((GraceForMissing(failed_at, At(2000)) == Milliseconds(1000)));
+  BOOST_TEST((GraceForMissing(failed_at, At(3600)) == duration::zero()));
+}
+
 BOOST_FIXTURE_TEST_CASE(ARestartedEndpointBeginsAnew, pool_fixture) {
   pool.Begin(*pool.Find(endpoint_id("e1")), model_id("m"));
   entries[0].started_at_ms = 2;
