--- a/packages/gateway/src/endpoint_pool.cc
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -244,9 +244,20 @@
 std::vector<endpoint_pool::endpoint_pointer> endpoint_pool::Able(
     const endpoint_query& query,
     time_point now) {
+  if (query.model.empty())
+    return AbleAmong(by_service_[query.service], query, now);
+  // Callers may name any model; only those of endpoints have a place.
+  const auto found = by_model_.find(query.model);
+  if (found == by_model_.end())
+    return {};
+  return AbleAmong(found->second, query, now);
+}
+
+std::vector<endpoint_pool::endpoint_pointer> endpoint_pool::AbleAmong(
+    std::set<endpoint_id>& ids,
+    const endpoint_query& query,
+    time_point now) {
   std::vector<endpoint_pointer> able;
-  auto& ids =
-      query.model.empty() ? by_service_[query.service] : by_model_[query.model];
   for (auto id = ids.begin(); id != ids.end();) {
     const auto endpoint = Find(*id);
     if (!endpoint || !Lists(*endpoint, query.model, now)) {
--- a/packages/gateway/src/endpoint_pool.h
+++ b/packages/gateway/src/endpoint_pool.h
@@ -145,6 +145,10 @@
   // Endpoints that may serve the query as far as their service and models go.
   std::vector<endpoint_pointer> Able(const endpoint_query& query,
                                      time_point now);
+  // Those of `ids`, from which it drops endpoints that no longer belong there.
+  std::vector<endpoint_pointer> AbleAmong(std::set<endpoint_id>& ids,
+                                          const endpoint_query& query,
+                                          time_point now);
 
   http::event_loop& loop_;
   zone_id zone_;
