--- a/packages/gateway/src/order_desk.cc
+++ b/packages/gateway/src/order_desk.cc
@@ -11,8 +11,8 @@
 // Time limit of an order and of a call for an engine's state; both are
 // answered at once.
 constexpr duration kEngineCallTimeout = Milliseconds(800);
-// Least time between two plans, for each endpoint: a plan takes about a tenth of
-// it (bench/gateway), whatever the size of the fleet.
+// Least time between two plans, for each endpoint: a plan takes about a tenth
+// of it (bench/gateway), whatever the size of the fleet.
 constexpr duration kPlanSpacing = std::chrono::microseconds(20);
 
 std::string_view NameOf(order_kind kind) {
