Read-through: state kept twice, work on each status, names and counts

- The time at which a missing endpoint counts as gone stood in the endpoint and in a set beside it; it stands in one map.
- IsAdapterHeld() also repeated a notice; its name says so now.
The interval of digests is one constant.
- A node that starts logs its first list in one line, not one for each endpoint.
- The soak counted faults that did not fit and were not injected, and took them for disturbances; it counts what was done.

--- a/packages/decision/src/placement/placement_state.cc
+++ b/packages/decision/src/placement/placement_state.cc
@@ -151,10 +151,10 @@
   const vm_view* vm = site_.OnStatus(status, now_);
   if (vm == nullptr)
     return;
-  if (vm->leaving && !vm->status.models.empty()) {
-    GatherCandidacies();
-    ConsiderVms();
-  }
+  // What a leaving VM holds is still unloaded in time.
+  if (vm->leaving && !vm->status.models.empty() &&
+      Candidate("vm/" + vm->vm.value()) == self_)
+    ConsiderVm(vm->vm);
   const auto found = vms_.find(vm->vm);
   if (found == vms_.end() || !found->second.owner)
     return;
@@ -411,8 +411,7 @@
 void placement_core::state::GatherCandidacies() {
   candidacies_.clear();
   for (const auto& [vm, view] : site_.vms()) {
-    // What a leaving VM holds is still unloaded in time.
-    if (view.gone || (view.leaving && view.status.models.empty()))
+    if (view.gone || view.leaving)
       continue;
     if (Candidate("vm/" + vm.value()) == self_)
       candidacies_.push_back(vm);
--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -13,6 +13,9 @@
 
 namespace jasminepath::gateway {
 
+// Usual interval of digests; one is sent at once when a call begins to wait for
+// a model.
+inline constexpr duration kDigestInterval = Milliseconds(300);
 // A node that has not reported for this long counts for no running or waiting
 // requests any more.
 inline constexpr duration kReportHolds = Seconds(3);
@@ -76,7 +79,7 @@
   // Rises with each digest of an incarnation.
   uint64_t sequence = 0;
   // Until its next digest at the latest, in milliseconds.
-  int64_t interval_ms = 300;
+  int64_t interval_ms = ToMilliseconds(kDigestInterval);
   // IP:PORT of its facts.
   std::string facts_address;
   // Versions of the last change of the configuration and of the endpoint list
--- a/packages/gateway/include/jasminepath/gateway/placement_planner.h
+++ b/packages/gateway/include/jasminepath/gateway/placement_planner.h
@@ -189,7 +189,7 @@
   void PlaceCopies(time_point now, std::vector<engine_order>& orders);
   void PlaceAdapters(time_point now, std::vector<engine_order>& orders);
   std::vector<model_key> AdaptersToPlace(time_point now);
-  bool IsAdapterHeld(const model_key& key, time_point now);
+  bool RepeatNoticeIfHeld(const model_key& key, time_point now);
   void PlaceAdapter(const model_key& key,
                     time_point now,
                     std::vector<engine_order>& orders);
--- a/packages/gateway/src/endpoint_pool.cc
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -80,9 +80,8 @@
   for (const endpoint_entry& entry : changes.listed)
     Enlist(entry);
   for (const endpoint_id& id : changes.removed) {
-    const auto endpoint = Find(id);
-    if (endpoint && missing_.insert(id).second)
-      endpoint->dropped_at = now + grace;
+    if (Find(id))
+      missing_.try_emplace(id, now + grace);
   }
   DropMissing(now);
 }
@@ -118,7 +117,6 @@
       by_model_[resident.model].insert(entry.id);
   }
   slot->entry = entry;
-  slot->dropped_at.reset();
   missing_.erase(entry.id);
 }
 
@@ -135,8 +133,8 @@
 
 void endpoint_pool::DropMissing(time_point now) {
   std::vector<endpoint_id> gone;
-  for (const endpoint_id& id : missing_) {
-    if (now >= Find(id)->dropped_at)
+  for (const auto& [id, gone_at] : missing_) {
+    if (now >= gone_at)
       gone.push_back(id);
   }
   for (const endpoint_id& id : gone)
@@ -369,7 +367,7 @@
 std::vector<endpoint_entry> endpoint_pool::Entries() const {
   std::vector<endpoint_entry> entries;
   for (const auto& [id, endpoint] : endpoints_) {
-    if (!endpoint->dropped_at)
+    if (!missing_.contains(id))
       entries.push_back(endpoint->entry);
   }
   return entries;
--- a/packages/gateway/src/endpoint_pool.h
+++ b/packages/gateway/src/endpoint_pool.h
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -60,8 +59,6 @@
   notice_times closing;
   // Models and adapters said to be ready ahead of the entry, and when.
   notice_times announced;
-  // Set while the entry is missing from the list: when it counts as gone.
-  std::optional<time_point> dropped_at;
 
   int64_t total_running() const { return running + running_of_peers; }
 };
@@ -154,8 +151,8 @@
   zone_id zone_;
   decision::routing_limits limits_;
   std::map<endpoint_id, endpoint_pointer> endpoints_;
-  // Those that are missing from the list and not dropped yet.
-  std::set<endpoint_id> missing_;
+  // Those that are missing from the list, and when they count as gone.
+  std::map<endpoint_id, time_point> missing_;
   std::map<service_id, std::set<endpoint_id>> by_service_;
   // Endpoints that hold a model, are said to, or did until lately.
   std::map<model_id, std::set<endpoint_id>> by_model_;
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -35,9 +35,6 @@
 // Time after the start in which peers send their first digests, so that not
 // every new node takes itself for the first of its zone.
 constexpr duration kSettling = Milliseconds(600);
-// Interval of digests; one is sent at once when a call begins to wait for a
-// model.
-constexpr duration kDigestInterval = Milliseconds(300);
 // Nodes of a zone up to which all of them keep this interval; in larger ones it
 // grows with the number of nodes, as each of them hears all the others, up to a
 // multiple that still shows a team's use in time.
@@ -320,6 +317,13 @@
                 {"state", state},
                 {"list_version", endpoint_rows_.copy().last_change().count()}});
   };
+  // A node that starts would write a line for each of thousands.
+  if (endpoints_.size() == 0) {
+    log_.Write(report::log_level::info, "endpoints",
+               {{"listed", static_cast<int64_t>(changes.listed.size())},
+                {"list_version", endpoint_rows_.copy().last_change().count()}});
+    return;
+  }
   for (const endpoint_id& id : changes.removed)
     log(id, "unlisted");
   for (const endpoint_entry& entry : changes.listed) {
@@ -488,7 +492,6 @@
     sum.whole_zone = true;
     sum.incarnation = digest.incarnation;
     sum.sequence = digest.sequence;
-    sum.interval_ms = ToMilliseconds(kDigestInterval);
     sum.facts_address = digest.facts_address;
     sum.site_change = digest.site_change;
     sum.endpoints_change = digest.endpoints_change;
--- a/packages/gateway/src/placement_planner.cc
+++ b/packages/gateway/src/placement_planner.cc
@@ -422,7 +422,7 @@
   });
   std::vector<std::pair<time_point, model_key>> missing;
   for (const auto& [key, waiting] : adapters_waiting_) {
-    if (IsAdapterHeld(key, now))
+    if (RepeatNoticeIfHeld(key, now))
       adapters_missing_since_.erase(key);
     else
       missing.emplace_back(
@@ -435,9 +435,10 @@
   return keys;
 }
 
-// The node that waits for an adapter which is ready may have missed the notice;
-// it is told again.
-bool placement_planner::IsAdapterHeld(const model_key& key, time_point now) {
+// Whether an engine holds the adapter already. The node that waits for it may
+// have missed the notice and is told again.
+bool placement_planner::RepeatNoticeIfHeld(const model_key& key,
+                                           time_point now) {
   for (auto& [id, engine] : engines_) {
     if (!Usable(engine) || !Resident(engine, key.first))
       continue;
--- a/soak/fault_injector.cc
+++ b/soak/fault_injector.cc
@@ -13,6 +13,8 @@
 
 using platform_adapter::endpoint_mood;
 
+// The fault does not fit now.
+constexpr std::nullopt_t kNothing = std::nullopt;
 // Lengths of a storm, and of the planned work after the faults have passed.
 constexpr duration kStorm = Seconds(8);
 constexpr duration kPlannedWork = Seconds(10);
@@ -71,22 +73,22 @@
 }
 
 void fault_injector::AddNodeFaults() {
-  faults_.push_back({"node_kill", false, [this] {
+  faults_.push_back({"node_kill", false, [this]() -> lasting {
                        site_node& node = AnyNode();
                        node.may_end = true;
                        node.process->Signal(SIGKILL);
                        return duration::zero();
                      }});
-  faults_.push_back({"all_nodes_kill", false, [this] {
+  faults_.push_back({"all_nodes_kill", false, [this]() -> lasting {
                        if (Below(3) != 0)
-                         return duration::zero();
+                         return kNothing;
                        for (site_node& node : site_.nodes()) {
                          node.may_end = true;
                          node.process->Signal(SIGKILL);
                        }
                        return duration::zero();
                      }});
-  faults_.push_back({"node_pause", false, [this] {
+  faults_.push_back({"node_pause", false, [this]() -> lasting {
                        site_node& node = AnyNode();
                        const duration length = Between(300, 4000);
                        node.process->Signal(SIGSTOP);
@@ -97,27 +99,27 @@
 }
 
 void fault_injector::AddStoreFaults() {
-  faults_.push_back({"store_down", false, [this] {
+  faults_.push_back({"store_down", false, [this]() -> lasting {
                        const duration length = Between(500, 5000);
                        site_.store().SetStatus(503);
                        Later(length, [this] { site_.store().SetStatus(0); });
                        return length;
                      }});
-  faults_.push_back({"store_answer_lost", false, [this] {
+  faults_.push_back({"store_answer_lost", false, [this]() -> lasting {
                        site_.store().LoseNextWriteAnswer();
                        return duration::zero();
                      }});
-  faults_.push_back({"store_history_gone", false, [this] {
+  faults_.push_back({"store_history_gone", false, [this]() -> lasting {
                        site_.store().ForgetHistory();
                        return duration::zero();
                      }});
 }
 
 void fault_injector::AddEndpointFaults() {
-  faults_.push_back({"endpoint_crash", false, [this] {
+  faults_.push_back({"endpoint_crash", false, [this]() -> lasting {
                        site_endpoint& endpoint = AnyEndpoint();
                        if (!endpoint.listed || endpoint.draining_at)
-                         return duration::zero();
+                         return kNothing;
                        const duration length = Between(200, 3000);
                        endpoint.proxy->ResetOpen();
                        endpoint.proxy->Refuse();
@@ -128,7 +130,7 @@
                        });
                        return length;
                      }});
-  faults_.push_back({"endpoint_mood", false, [this] {
+  faults_.push_back({"endpoint_mood", false, [this]() -> lasting {
                        constexpr endpoint_mood kMoods[] = {
                            endpoint_mood::refuse, endpoint_mood::fail,
                            endpoint_mood::drop, endpoint_mood::cut_midway,
@@ -138,22 +140,22 @@
                        standin.mood_left = static_cast<int>(1 + Below(10));
                        return duration::zero();
                      }});
-  faults_.push_back({"connections_reset", false, [this] {
+  faults_.push_back({"connections_reset", false, [this]() -> lasting {
                        AnyProxy().ResetOpen();
                        return duration::zero();
                      }});
-  faults_.push_back({"connections_silent", false, [this] {
+  faults_.push_back({"connections_silent", false, [this]() -> lasting {
                        AnyProxy().SilenceOpen();
                        return duration::zero();
                      }});
-  faults_.push_back({"link_slow", false, [this] {
+  faults_.push_back({"link_slow", false, [this]() -> lasting {
                        fault_proxy& proxy = AnyProxy();
                        const duration length = Between(500, 4000);
                        proxy.SetDelay(Between(20, 1500));
                        Later(length, [&proxy] { proxy.Heal(); });
                        return length;
                      }});
-  faults_.push_back({"link_cut_one_way", false, [this] {
+  faults_.push_back({"link_cut_one_way", false, [this]() -> lasting {
                        fault_proxy& proxy = AnyProxy();
                        const duration length = Between(300, 4000);
                        proxy.Cut(Below(2) == 0 ? direction::to_target
@@ -164,27 +166,27 @@
 }
 
 void fault_injector::AddPlannedWork() {
-  faults_.push_back({"node_stop", true, [this] {
+  faults_.push_back({"node_stop", true, [this]() -> lasting {
                        site_node& node = AnyNode();
                        if (node.stopping_since || !node.process->running())
-                         return duration::zero();
+                         return kNothing;
                        node.may_end = true;
                        node.stopping_since = boot_clock::now();
                        node.process->Signal(SIGTERM);
                        return duration::zero();
                      }});
-  faults_.push_back({"node_reload", true, [this] {
+  faults_.push_back({"node_reload", true, [this]() -> lasting {
                        AnyNode().process->Signal(SIGHUP);
                        return duration::zero();
                      }});
-  faults_.push_back({"configuration", true, [this] {
+  faults_.push_back({"configuration", true, [this]() -> lasting {
                        site_.ChangeConfiguration();
                        return duration::zero();
                      }});
-  faults_.push_back({"endpoint_leaves", true, [this] {
+  faults_.push_back({"endpoint_leaves", true, [this]() -> lasting {
                        site_endpoint& endpoint = AnyEndpoint();
                        if (!endpoint.listed || endpoint.draining_at)
-                         return duration::zero();
+                         return kNothing;
                        site_.Drain(endpoint);
                        Later(kServesOn,
                              [this, &endpoint] { site_.Leave(endpoint); });
@@ -244,10 +246,12 @@
 }
 
 void fault_injector::Inject(const fault& chosen) {
+  const lasting length = chosen.begin();
+  if (!length)
+    return;
   ++counts_[chosen.name];
-  const duration length = chosen.begin();
   if (!chosen.planned)
-    site_.NoteDisturbance(boot_clock::now() + length);
+    site_.NoteDisturbance(boot_clock::now() + *length);
 }
 
 }  // namespace jasminepath::soak
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -5,7 +5,7 @@
 #include <functional>
 #include <list>
 #include <map>
-#include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,11 +28,12 @@
   const std::map<std::string, int64_t>& counts() const { return counts_; }
 
  private:
+  // How long a fault lasts; nothing if it did not fit and was not injected.
+  using lasting = std::optional<duration>;
   struct fault {
     std::string name;
     bool planned = false;
-    // Returns how long it lasts.
-    std::function<duration()> begin;
+    std::function<lasting()> begin;
   };
 
   void AddNodeFaults();
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -2,7 +2,6 @@
 #define JASMINEPATH_SOAK_FAULT_PROXY_H_
 
 #include <array>
-#include <cstddef>
 #include <memory>
 #include <set>
 #include <string>
--- a/soak/soak_bounds.h
+++ b/soak/soak_bounds.h
@@ -2,6 +2,7 @@
 #define JASMINEPATH_SOAK_SOAK_BOUNDS_H_
 
 #include <cstddef>
+#include <cstdint>
 
 #include "jasminepath/base/boot_time.h"
 
