Answer or leave unread what reaches a stopping server's kept connections

Cause: a stop shut down only the sending side of idle connections and went on reading. A request that was on its way was read and dropped. The same happened after a stream whose head had been sent before the stop began: the connection was shut down after its last chunk, though its head had not announced that, so the next request on it was read and dropped.

Idle connections are now closed in both directions, so that a late request is reset unread, which tells the caller that it may be sent again; input that has already arrived is read and answered with 'Connection: close'; and a connection whose answer began before the drain serves one more request.

Before the change the three new tests fail: requests.size() == 2 (1 != 2), client.WasReset(), and a hang in the third. ClosesAtOnceWhenARequestArrives... now lets the server finish its write before it stops, since a request that arrives earlier is answered; its checks are unchanged.

--- a/packages/http/include/jasminepath/http/server.h
+++ b/packages/http/include/jasminepath/http/server.h
@@ -75,10 +75,12 @@
   // Sets the limits that apply to requests that begin after this call.
   void SetLimits(const server_limits& limits);
 
-  // Starts draining: every answer from now on carries "Connection: close" and
-  // closes its connection.
+  // Starts draining: every answer that begins from now on carries "Connection:
+  // close" and closes its connection. A connection whose answer began earlier
+  // stays open for one more request.
   void BeginDrain();
-  // Stops accepting connections and closes the idle ones.
+  // Starts draining, stops accepting connections and closes the idle ones. May
+  // be called again to close connections that have become idle.
   void StopAccepting();
 
   // Number of open connections, and of those with an unanswered request.
--- a/packages/http/src/server.cc
+++ b/packages/http/src/server.cc
@@ -110,6 +110,7 @@
 }
 
 void server::StopAccepting() {
+  BeginDrain();
   boost::system::error_code ignored;
   implementation_->retry.Cancel();
   implementation_->acceptor.close(ignored);
--- a/packages/http/src/server_connection.cc
+++ b/packages/http/src/server_connection.cc
@@ -67,6 +67,11 @@
   });
 }
 
+bool server_connection::HasUnreadInput() const {
+  error_code error;
+  return socket_.available(error) > 0 && !error;
+}
+
 void server_connection::Read() {
   if (reading_ || closed_ || input_.size() > kMaxBufferedInputBytes)
     return;
@@ -205,6 +210,8 @@
   if (unsent_.empty()) {
     if (closing_)
       Shutdown();
+    else if (close_when_sent_)
+      CloseIfIdle();
     auto sent = std::move(on_sent_);
     on_sent_ = nullptr;
     if (sent)
@@ -277,12 +284,14 @@
   socket_.close(ignored);
 }
 
+// Closes both directions: if only the sending side were shut down, a request
+// that the client has sent meanwhile would be read but never answered.
 void server_connection::CloseIfIdle() {
-  if (busy_ || closing_ || !input_.empty() || request_began_ != time_point{})
+  close_when_sent_ = unsent_bytes() > 0;
+  if (busy_ || closing_ || !input_.empty() || request_began_ != time_point{} ||
+      close_when_sent_ || HasUnreadInput())
     return;
-  closing_ = true;
-  if (sending_.empty() && unsent_.empty())
-    Shutdown();
+  Close();
 }
 
 void server_connection::OnSent(std::function<void()> callback) {
--- a/packages/http/src/server_connection.h
+++ b/packages/http/src/server_connection.h
@@ -38,7 +38,7 @@
 
   void Start();
   void Close();
-  // Closes the connection if no request is being read or answered.
+  // Closes the connection if no request has arrived or is being answered.
   void CloseIfIdle();
 
   // The following functions are called by the exchange in progress.
@@ -58,6 +58,8 @@
   void OnClosedByClient();
   void Parse();
   void NewParser();
+  // Whether the kernel holds input that has not been read.
+  bool HasUnreadInput() const;
   bool HandleHead();
   void HandleRequest();
   void Reject(int status);
@@ -78,6 +80,8 @@
   bool busy_ = false;
   bool close_after_answer_ = false;
   bool closing_ = false;
+  // Close the idle connection as soon as its last answer has been sent.
+  bool close_when_sent_ = false;
   bool closed_ = false;
   bool parsing_ = false;
   // Keeps this object alive from Start() until Close().
--- a/packages/http/src/server_exchange.cc
+++ b/packages/http/src/server_exchange.cc
@@ -93,7 +93,7 @@
     return;
   ended_ = true;
   connection->Send("0\r\n\r\n");
-  connection->EndExchange(close_after_answer_ || connection->ShouldClose());
+  connection->EndExchange(close_after_answer_);
 }
 
 void server_exchange::Abort() {
--- a/packages/http/tests/loop_fixture.h
+++ b/packages/http/tests/loop_fixture.h
@@ -1,9 +1,12 @@
 #ifndef JASMINEPATH_HTTP_TESTS_LOOP_FIXTURE_H_
 #define JASMINEPATH_HTTP_TESTS_LOOP_FIXTURE_H_
 
+#include <sys/socket.h>
+
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cerrno>
 #include <chrono>
 #include <functional>
 #include <memory>
@@ -65,6 +68,15 @@
     return received_;
   }
   void Close() { socket_.close(); }
+  // Whether the peer has reset the connection, which a peer does that leaves
+  // bytes unread. A reset after an orderly end is a broken pipe to the kernel.
+  bool WasReset() {
+    int error = 0;
+    socklen_t length = sizeof error;
+    ::getsockopt(socket_.native_handle(), SOL_SOCKET, SO_ERROR, &error,
+                 &length);
+    return error == EPIPE || error == ECONNRESET;
+  }
 
  private:
   void Poll() {
--- a/packages/http/tests/server_test.cc
+++ b/packages/http/tests/server_test.cc
@@ -153,6 +153,7 @@
   raw_client client(*this, subject.port());
   client.Send(kGet);
   client.ReadUntil("body of");
+  loop.poll();
   subject.StopAccepting();
   client.Send(kGet);
   const auto began = std::chrono::steady_clock::now();
@@ -163,6 +164,50 @@
               std::chrono::milliseconds(900)));
 }
 
+BOOST_FIXTURE_TEST_CASE(AnswersARequestThatArrivedBeforeTheServerStopped,
+                        server_fixture) {
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  client.ReadUntil("body of");
+  subject.BeginDrain();
+  client.Send(kGet);
+  subject.StopAccepting();
+  client.ReadToEnd();
+  BOOST_TEST(requests.size() == 2);
+}
+
+// A reset tells the client that the request was not read.
+BOOST_FIXTURE_TEST_CASE(DoesNotReadARequestThatItWillNotAnswer,
+                        server_fixture) {
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  client.ReadUntil("body of");
+  loop.poll();
+  subject.StopAccepting();
+  client.Send(kGet);
+  RunUntil([&] { return subject.connection_count() == 0; });
+  BOOST_TEST(requests.size() == 1);
+  BOOST_TEST(client.WasReset());
+}
+
+BOOST_FIXTURE_TEST_CASE(AnswersTheRequestAfterAStreamThatOutlastedTheDrainStart,
+                        server_fixture) {
+  answer_at_once = false;
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  RunUntil([&] { return !replies.empty(); });
+  replies[0]->Start({200, {}});
+  replies[0]->Write("first");
+  subject.BeginDrain();
+  replies[0]->Finish();
+  client.ReadUntil("0\r\n\r\n");
+  client.Send(kGet);
+  RunUntil([&] { return replies.size() == 2; });
+  replies[1]->Respond({200, {}}, "second");
+  BOOST_TEST(client.ReadToEnd().find("Connection: close") != std::string::npos);
+  BOOST_TEST(client.ReadToEnd().ends_with("second"));
+}
+
 BOOST_AUTO_TEST_CASE(ParsesAddresses) {
   BOOST_TEST(ParseEndpoint("127.0.0.1:80").value().port() == 80);
   for (const char* text :
