Apply a raised idle timeout to connections that are idle already

A configuration may raise the limit for idle connections. Callers then reuse connections for longer, but the timers of connections that were idle already kept the old limit, so that requests crossed the close. The timer is checked against the limit in force when it fires, and a connection whose input has arrived but was not read yet, on a node whose loop was busy, is not closed.

ARaisedIdleTimeoutKeepsConnectionsThatAreIdleAlready fails before the change (connection_count() 0 in place of 1).

--- a/packages/http/include/jasminepath/http/server.h
+++ b/packages/http/include/jasminepath/http/server.h
@@ -72,7 +72,8 @@
   // The port that the server listens on.
   unsigned short port() const;
 
-  // Sets the limits that apply to requests that begin after this call.
+  // Sets the limits that apply to requests that begin after this call. A raised
+  // idle timeout also applies to connections that are idle already.
   void SetLimits(const server_limits& limits);
 
   // Starts draining: every answer that begins from now on carries "Connection:
--- a/packages/http/src/server_connection.cc
+++ b/packages/http/src/server_connection.cc
@@ -21,6 +21,8 @@
 // Time that a client has to read the last answer before the connection is
 // closed.
 constexpr duration kLingerTimeout = Seconds(1);
+// Time for the event loop to read input that has already arrived.
+constexpr duration kUnreadInputDelay = Milliseconds(50);
 
 int StatusForParseError(const error_code& error) {
   if (error == beast::http::error::header_limit)
@@ -61,12 +63,28 @@
   parser_->body_limit(shared_->limits.max_body_bytes);
   head_seen_ = false;
   request_began_ = time_point{};
-  timer_.Start(shared_->limits.idle_timeout, [weak = weak_from_this()] {
+  idle_since_ = boot_clock::now();
+  StartIdleTimer(shared_->limits.idle_timeout);
+}
+
+void server_connection::StartIdleTimer(duration delay) {
+  timer_.Start(delay, [weak = weak_from_this()] {
     if (auto self = weak.lock())
-      self->Close();
+      self->OnIdleTimeout();
   });
 }
 
+// The limit may have been raised since the timer was started.
+void server_connection::OnIdleTimeout() {
+  const duration left =
+      idle_since_ + shared_->limits.idle_timeout - boot_clock::now();
+  if (left > duration::zero())
+    return StartIdleTimer(left);
+  if (HasUnreadInput())
+    return StartIdleTimer(kUnreadInputDelay);
+  Close();
+}
+
 bool server_connection::HasUnreadInput() const {
   error_code error;
   return socket_.available(error) > 0 && !error;
--- a/packages/http/src/server_connection.h
+++ b/packages/http/src/server_connection.h
@@ -58,6 +58,8 @@
   void OnClosedByClient();
   void Parse();
   void NewParser();
+  void StartIdleTimer(duration delay);
+  void OnIdleTimeout();
   // Whether the kernel holds input that has not been read.
   bool HasUnreadInput() const;
   bool HandleHead();
@@ -77,6 +79,8 @@
   bool reading_ = false;
   bool head_seen_ = false;
   time_point request_began_{};
+  // Time since which the connection has waited for a request.
+  time_point idle_since_{};
   bool busy_ = false;
   bool close_after_answer_ = false;
   bool closing_ = false;
--- a/packages/http/tests/server_test.cc
+++ b/packages/http/tests/server_test.cc
@@ -208,6 +208,23 @@
   BOOST_TEST(client.ReadToEnd().ends_with("second"));
 }
 
+BOOST_FIXTURE_TEST_CASE(ARaisedIdleTimeoutKeepsConnectionsThatAreIdleAlready,
+                        server_fixture) {
+  server_limits limits;
+  limits.idle_timeout = Seconds(1);
+  subject.SetLimits(limits);
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  client.ReadUntil("body of");
+  limits.idle_timeout = Seconds(60);
+  subject.SetLimits(limits);
+  timer pause(loop);
+  bool is_over = false;
+  pause.Start(Milliseconds(1500), [&] { is_over = true; });
+  RunUntil([&] { return is_over; });
+  BOOST_TEST(subject.connection_count() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(ParsesAddresses) {
   BOOST_TEST(ParseEndpoint("127.0.0.1:80").value().port() == 80);
   for (const char* text :
