Keep a silent endpoint's request until another one can take it

Callers saw answers that had begun end in the middle, and 502 for requests whose endpoint was merely silent (LOST).

Cause: OnSilence() spent retry budget and gave the attempt up before it knew whether another endpoint could take the request. Often none could: the model is at that endpoint alone, which the call then avoids. The wait for an endpoint spent budget a second time, and when that was denied, or six sends had been refused, the answer was cut.

The attempt is now given up only for an endpoint that takes the request at once, with one unit of budget; otherwise the call stays with the endpoint and looks again after the same time. An answer that has begun and needs another send waits for budget until its deadline. The timeout between two events is 5 pause objectives in place of 3, since sound endpoints pause for a second and more.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -31,8 +31,8 @@
 constexpr duration kMinSilenceTimeout = Milliseconds(700);
 constexpr duration kMaxSilenceTimeout = Milliseconds(3500);
 // The same between two events of a stream, as a multiple of the route's pause
-// objective.
-constexpr int kSilenceTimeoutPauses = 3;
+// objective. Sound endpoints may pause for more than a second.
+constexpr int kSilenceTimeoutPauses = 5;
 // Answers up to this size are buffered and passed on as a whole.
 constexpr std::size_t kMaxBufferedAnswerBytes = 262144;
 // Unsent bytes for a slow caller at which reading from the endpoint is paused.
@@ -203,16 +203,14 @@
   const auto choice = context_.endpoints.Pick(MakeQuery(), boot_clock::now());
   if (!choice.endpoint)
     return WaitForEndpoint(choice.miss);
-  if (queued_) {
-    context_.queue.Remove(*this);
-    queued_ = false;
-  }
   if (tries_ >= kMaxTries)
     return FailCall();
   // Every send after the first one consumes retry budget.
-  if (sends_ > 0 && !context_.retries.For(service_).Take()) {
-    Log("retry_denied", "budget", 0);
-    return FailCall();
+  if (sends_ > 0 && !context_.retries.For(service_).Take())
+    return WaitForRetryBudget();
+  if (queued_) {
+    context_.queue.Remove(*this);
+    queued_ = false;
   }
   Send(choice.endpoint);
 }
@@ -245,6 +243,22 @@
       0);
 }
 
+// An answer that has begun cannot be refused any more, so it waits until its
+// deadline; other calls fail.
+void call_session::WaitForRetryBudget() {
+  if (!answer_started_) {
+    Log("retry_denied", "budget", 0);
+    return FailCall();
+  }
+  if (queued_ && !queued_for_load_)
+    return;
+  queued_ = true;
+  queued_for_load_ = false;
+  context_.queue.Add(*this, priority_, deadline_, request_.model,
+                     request_.adapter, false);
+  Log("waiting", "retry_budget", 0);
+}
+
 http::call_options call_session::MakeCallOptions() const {
   http::call_options options;
   options.connect_timeout = std::min<duration>(kConnectTimeout, TimeLeft());
@@ -298,22 +312,28 @@
   silence_timer_.Start(silence, [this] { OnSilence(); });
 }
 
+// The endpoint may be sound and go on, so its attempt is given up only if
+// another endpoint can take the request now.
 void call_session::OnSilence() {
   const auto keep = shared_from_this();
-  if (!attempt_ || !context_.retries.For(service_).Take())
+  if (!attempt_)
     return;
+  const endpoint_id silent = attempt_->endpoint->entry.id;
+  endpoint_query query = MakeQuery();
+  query.avoid.push_back(silent);
+  const auto choice = context_.endpoints.Pick(query, boot_clock::now());
+  if (!choice.endpoint || tries_ >= kMaxTries ||
+      TimeLeft() < kMinTimeToSend + kAnswerMargin ||
+      !context_.retries.For(service_).Take())
+    return StartSilenceTimer();
   may_have_run_ = true;
   ++runs_;
   call_.reset();
-  const endpoint_id silent = attempt_->endpoint->entry.id;
   EndAttempt(decision::attempt_end::silent);
   Avoid(silent);
   splitter_.Reset();
   Log("attempt_failed", "silent", 0);
-  const auto choice = context_.endpoints.Pick(MakeQuery(), boot_clock::now());
-  if (choice.endpoint)
-    return Send(choice.endpoint);
-  WaitForEndpoint(choice.miss);
+  Send(choice.endpoint);
 }
 
 bool call_session::OnHead(const http::response_head& head) {
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -54,6 +54,8 @@
 
   void Dispatch();
   void WaitForEndpoint(pick_miss miss);
+  // Called when the retry budget denies another send.
+  void WaitForRetryBudget();
   void Send(std::shared_ptr<pooled_endpoint> endpoint);
   http::call_options MakeCallOptions() const;
   void StartSilenceTimer();
