Do not take a repeated refusal for the answer to a later request

A faulty endpoint that wrote an earlier refusal once more on a kept connection ended the request that was now on that connection: the node took it as not run and sent it to another endpoint, or told the caller 503, although the endpoint ran it.

Cause: a refusal without a request id counted as the answer to the current request on any connection, and a request could be sent again over the connection on which the endpoint had refused it, so that a repeated refusal with the request's own id was taken for the answer to the second attempt.

On a reused connection an answer without a request id is now skipped, as one with another id; on a new connection it can only belong to the request. A request is not sent twice over the same connection. Other idle connections to the endpoint are still used.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -245,7 +245,8 @@
       0);
 }
 
-http::call_options call_session::MakeCallOptions() const {
+http::call_options call_session::MakeCallOptions(
+    const pooled_endpoint& endpoint) const {
   http::call_options options;
   options.connect_timeout = std::min<duration>(kConnectTimeout, TimeLeft());
   options.head_timeout = std::max<duration>(TimeLeft(), kMinTimeToSend);
@@ -255,6 +256,14 @@
     options.max_idle_time = kMaxIdleForNonRepeatableStream;
   else
     options.max_idle_time = duration::zero();
+  if (endpoint.health.ShouldUseNewConnection())
+    options.max_idle_time = duration::zero();
+  // The endpoint may send its answer to the earlier attempt once more, which
+  // then could not be distinguished from the answer to this one.
+  for (const auto& [used_endpoint, connection] : used_connections_) {
+    if (used_endpoint == endpoint.entry.id)
+      options.excluded_connections.push_back(connection);
+  }
   return options;
 }
 
@@ -274,13 +283,12 @@
   context_.endpoints.Begin(*endpoint, NeededModel());
   attempt_ = attempt();
   attempt_->endpoint = std::move(endpoint);
-  http::call_options options = MakeCallOptions();
-  if (attempt_->endpoint->health.ShouldUseNewConnection())
-    options.max_idle_time = duration::zero();
+  const http::call_options options = MakeCallOptions(*attempt_->endpoint);
   Log("sent", attempt_->endpoint->entry.id.value(), 0);
   call_ = attempt_->endpoint->client->Send(
       http::Serialize(context_.codec.EncodeAttempt(request_, fields)),
       request_.method == "HEAD", options, *this);
+  attempt_->connection = call_->connection_id();
   StartSilenceTimer();
 }
 
@@ -322,9 +330,11 @@
     Log("answer_skipped", "other_request", head.status);
     return false;
   }
-  // Only refusals may lack a request id.
-  if (!fields.request && !fields.not_run && !fields.other_endpoint &&
-      IsSuccess(head.status)) {
+  // Only refusals and errors may lack a request id. On a reused connection, one
+  // without an id may repeat the answer to an earlier request.
+  const bool is_success =
+      IsSuccess(head.status) && !fields.not_run && !fields.other_endpoint;
+  if (!fields.request && (is_success || call_->uses_reused_connection())) {
     Log("answer_skipped", "no_request_id", head.status);
     return false;
   }
@@ -396,6 +406,9 @@
   silence_timer_.Cancel();
   if (attempt_->fields.closing)
     attempt_->endpoint->client->CloseIdle();
+  if (end != decision::attempt_end::answered)
+    used_connections_.emplace_back(attempt_->endpoint->entry.id,
+                                   attempt_->connection);
   context_.endpoints.End(*attempt_->endpoint, NeededModel(), end,
                          boot_clock::now());
   attempt_.reset();
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -36,6 +36,7 @@
   // State of the attempt in progress.
   struct attempt {
     std::shared_ptr<pooled_endpoint> endpoint;
+    uint64_t connection = 0;
     answer_fields fields;
     http::response_head head;
     bool head_seen = false;
@@ -55,7 +56,7 @@
   void Dispatch();
   void WaitForEndpoint(pick_miss miss);
   void Send(std::shared_ptr<pooled_endpoint> endpoint);
-  http::call_options MakeCallOptions() const;
+  http::call_options MakeCallOptions(const pooled_endpoint& endpoint) const;
   void StartSilenceTimer();
   void OnSilence();
 
@@ -102,6 +103,8 @@
   std::optional<attempt> attempt_;
   // Endpoints that failed this call, and when.
   std::vector<std::pair<endpoint_id, time_point>> recently_failed_;
+  // Connections that have carried failed attempts of this call.
+  std::vector<std::pair<endpoint_id, uint64_t>> used_connections_;
   http::event_stream_splitter splitter_;
   std::optional<std::string> last_event_id_;
   // Attempts that ran or may have run the request.
--- a/packages/http/include/jasminepath/http/client.h
+++ b/packages/http/include/jasminepath/http/client.h
@@ -2,6 +2,7 @@
 #define JASMINEPATH_HTTP_CLIENT_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
@@ -50,6 +51,8 @@
   // An idle connection is reused only if it has been idle for at most this
   // long; zero always opens a new connection.
   duration max_idle_time = Seconds(5);
+  // Ids of connections that are not used for this call.
+  std::vector<uint64_t> excluded_connections;
 
   friend bool operator==(const call_options&, const call_options&) = default;
 };
@@ -68,6 +71,12 @@
   void Pause();
   void Resume();
 
+  // Id of the connection that carries the call, unique within the client.
+  uint64_t connection_id() const;
+  // Whether the connection has carried earlier calls. Any of them may be what
+  // an answer belongs to that does not name its request.
+  bool uses_reused_connection() const;
+
  private:
   std::shared_ptr<client_connection> connection_;
 };
@@ -94,6 +103,10 @@
 
  private:
   struct pool;
+
+  // Takes a connection that the options allow from the pool, or returns null.
+  std::shared_ptr<client_connection> TakeIdle(const call_options& options);
+
   std::shared_ptr<pool> pool_;
   friend class client_connection;
 };
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -1,5 +1,7 @@
 #include "jasminepath/http/client.h"
 
+#include <algorithm>
+
 #include "client_connection.h"
 
 namespace jasminepath::http {
@@ -38,6 +40,14 @@
   connection_->Resume();
 }
 
+uint64_t call::connection_id() const {
+  return connection_->id();
+}
+
+bool call::uses_reused_connection() const {
+  return connection_->is_reused();
+}
+
 client::client(event_loop& loop, boost::asio::ip::tcp::endpoint peer)
     : pool_(std::make_shared<pool>(loop, std::move(peer))) {}
 
@@ -49,18 +59,7 @@
                                    bool is_head_request,
                                    const call_options& options,
                                    response_sink& sink) {
-  const time_point now = boot_clock::now();
-  std::shared_ptr<client_connection> connection;
-  while (!connection && !pool_->idle.empty() &&
-         options.max_idle_time > duration::zero()) {
-    auto candidate = pool_->idle.back();
-    pool_->idle.pop_back();
-    if (now < candidate->usable_until() &&
-        now - candidate->idle_since() <= options.max_idle_time)
-      connection = std::move(candidate);
-    else
-      candidate->Close();
-  }
+  std::shared_ptr<client_connection> connection = TakeIdle(options);
   if (!connection)
     connection = std::make_shared<client_connection>(pool_);
   auto started = std::make_unique<call>(connection);
@@ -68,6 +67,26 @@
   return started;
 }
 
+std::shared_ptr<client_connection> client::TakeIdle(
+    const call_options& options) {
+  if (options.max_idle_time <= duration::zero())
+    return nullptr;
+  const time_point now = boot_clock::now();
+  const auto& excluded = options.excluded_connections;
+  for (std::size_t i = pool_->idle.size(); i-- > 0;) {
+    auto candidate = pool_->idle[i];
+    if (std::find(excluded.begin(), excluded.end(), candidate->id()) !=
+        excluded.end())
+      continue;
+    pool_->idle.erase(pool_->idle.begin() + static_cast<std::ptrdiff_t>(i));
+    if (now < candidate->usable_until() &&
+        now - candidate->idle_since() <= options.max_idle_time)
+      return candidate;
+    candidate->Close();
+  }
+  return nullptr;
+}
+
 std::size_t client::opened_connections() const {
   return pool_->opened_connections;
 }
--- a/packages/http/src/client_connection.cc
+++ b/packages/http/src/client_connection.cc
@@ -43,7 +43,10 @@
 }  // namespace
 
 client_connection::client_connection(std::shared_ptr<client::pool> pool)
-    : pool_(std::move(pool)), socket_(pool_->loop), timer_(pool_->loop) {}
+    : pool_(std::move(pool)),
+      id_(++pool_->last_connection_id),
+      socket_(pool_->loop),
+      timer_(pool_->loop) {}
 
 void client_connection::Begin(std::string bytes,
                               bool is_head_request,
@@ -53,6 +56,7 @@
   is_head_request_ = is_head_request;
   options_ = options;
   sink_ = sink;
+  ++calls_;
   written_ = sent_any_ = paused_ = false;
   NewParser();
   if (connected_)
--- a/packages/http/src/client_connection.h
+++ b/packages/http/src/client_connection.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -21,6 +22,7 @@
   boost::asio::ip::tcp::endpoint peer;
   std::vector<std::shared_ptr<client_connection>> idle;
   std::size_t opened_connections = 0;
+  uint64_t last_connection_id = 0;
 };
 
 // One connection to a peer; it carries one call at a time.
@@ -45,6 +47,10 @@
   time_point idle_since() const { return idle_since_; }
   time_point usable_until() const { return usable_until_; }
   bool is_open() const { return !closed_; }
+  // Unique among the connections of the pool.
+  uint64_t id() const { return id_; }
+  // Whether the current call is not the connection's first one.
+  bool is_reused() const { return calls_ > 1; }
 
  private:
   using parser =
@@ -63,6 +69,7 @@
   void Fail(call_failure failure);
 
   std::shared_ptr<client::pool> pool_;
+  const uint64_t id_;
   boost::asio::ip::tcp::socket socket_;
   timer timer_;
   std::optional<parser> parser_;
@@ -72,6 +79,7 @@
   response_sink* sink_ = nullptr;
   call_options options_;
   bool is_head_request_ = false;
+  int64_t calls_ = 0;
   bool connected_ = false;
   bool written_ = false;
   bool sent_any_ = false;
