Don't reserve the body length that an endpoint announces

What callers saw: every call of a node ended without an answer, because one endpoint's answer ended the node's process.

Cause: Beast's string_body reserves the announced Content-Length before the first byte of the body. A length that cannot be allocated throws bad_alloc out of the event loop; a smaller one reserves that much for every piece of the body, since each piece is moved out.

Evidence: before the change, AHugeAnnouncedLengthAllocatesNothing (http_test) ended with "fatal error: std::bad_alloc: std::bad_alloc".

The parser now uses a body that grows with the bytes received, whatever length is announced.

--- a/packages/http/src/client_connection.h
+++ b/packages/http/src/client_connection.h
@@ -3,12 +3,12 @@
 
 #include <array>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "jasminepath/http/client.h"
+#include "received_body.h"
 
 namespace jasminepath::http {
 
@@ -47,8 +47,7 @@
   bool is_open() const { return !closed_; }
 
  private:
-  using parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using parser = boost::beast::http::response_parser<received_body>;
 
   void Connect();
   void Write();
--- a/packages/http/tests/client_test.cc
+++ b/packages/http/tests/client_test.cc
@@ -82,6 +82,18 @@
   }
 }
 
+BOOST_FIXTURE_TEST_CASE(AHugeAnnouncedLengthAllocatesNothing, loop_fixture) {
+  canned_peer peer(*this, {"HTTP/1.1 200 OK\r\n"
+                           "Content-Length: 4611686018427387904\r\n\r\nhalf"});
+  peer.CloseAfterAnswer(false);
+  client subject(loop, peer.address());
+  collecting_sink sink;
+  const auto call = subject.Send(kRequest, false, {}, sink);
+  RunUntil([&] { return sink.done(); });
+  BOOST_TEST((sink.failure == call_failure::broken));
+  BOOST_TEST(sink.body == "half");
+}
+
 BOOST_FIXTURE_TEST_CASE(ReportsAResetAnswerWithoutLengthAsBroken,
                         loop_fixture) {
   canned_peer peer(*this, {"HTTP/1.1 200 OK\r\n\r\nhalf"});
