End answers that never get to their body or their next chunk

What callers saw: a request waited until its deadline behind bytes that are no answer, while the node's memory grew with every byte received.

Cause: client_connection kept the bytes of an unfinished chunk header or trailer without a limit, and it read interim answers and answers to other requests without one. A skipped answer without a length keeps the connection to its end, so no other answer could follow.

Evidence: with a peer that writes 64 MiB and then waits, seven rows of EndsAnAnswerWithoutEndAsMalformed (http_test) failed before the change, each after ten seconds with "critical check std::chrono::steady_clock::now() < end has failed": _4 to _10, interim answers, chunk size, chunk extension, trailer, skipped answers, skipped body and skipped chunks. Rows _0 to _3, heads, passed: Beast's header limit ends those.

Now the unparsed rest of the input and all that precedes the call's own answer have limits, and a skipped answer without a length ends the call at once. Both end it as malformed, so the request counts as one that may have run.

--- a/packages/http/src/client_connection.cc
+++ b/packages/http/src/client_connection.cc
@@ -21,6 +21,10 @@
 // no longer reused, so that a request is not sent while the peer closes it.
 constexpr int kIdleTimeoutPercent = 70;
 constexpr uint32_t kMaxAnswerHeadBytes = 65536;
+// Limit on a chunk's header, or on the trailers.
+constexpr std::size_t kMaxUnparsedBytes = 65536;
+// Limit on answers to other requests and interim answers.
+constexpr std::size_t kMaxBytesBeforeAnswer = std::size_t{1} << 20;
 
 using user_timeout =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
@@ -54,6 +58,7 @@
   options_ = options;
   sink_ = sink;
   written_ = sent_any_ = paused_ = false;
+  bytes_before_answer_ = 0;
   NewParser();
   if (connected_)
     Write();
@@ -165,7 +170,9 @@
     const std::size_t used =
         parser_->put(asio::buffer(input_.data(), input_.size()), error);
     input_.erase(0, used);
-    if (error && error != beast::http::error::need_more)
+    if (!IsDelivering())
+      bytes_before_answer_ += used;
+    if ((error && error != beast::http::error::need_more) || IsOverLimit())
       return Fail(call_failure::malformed);
     if (parser_->is_header_done() && !head_seen_ && !HandleHead())
       return;
@@ -181,6 +188,11 @@
   }
 }
 
+bool client_connection::IsOverLimit() const {
+  return (!parser_->is_done() && input_.size() > kMaxUnparsedBytes) ||
+         (!IsDelivering() && bytes_before_answer_ > kMaxBytesBeforeAnswer);
+}
+
 bool client_connection::HandleHead() {
   head_seen_ = true;
   const auto& message = parser_->get();
@@ -194,6 +206,11 @@
   skipping_answer_ = !sink_->OnHead(head);
   if (sink_ == nullptr || closed_)
     return false;
+  if (skipping_answer_ && parser_->need_eof()) {
+    // No other answer can follow on this connection.
+    Fail(call_failure::malformed);
+    return false;
+  }
   if (!skipping_answer_)
     timer_.Cancel();
   usable_until_ = time_point::max();
@@ -202,6 +219,10 @@
   return true;
 }
 
+bool client_connection::IsDelivering() const {
+  return head_seen_ && !skipping_answer_ && parser_->get().result_int() >= 200;
+}
+
 void client_connection::DeliverBody() {
   if (!head_seen_)
     return;
--- a/packages/http/src/client_connection.h
+++ b/packages/http/src/client_connection.h
@@ -55,8 +55,13 @@
   void OnRead(std::size_t length);
   void OnReadError(const boost::system::error_code& error);
   void Parse();
+  // Whether the peer has sent more than an answer may take before its body, or
+  // between two pieces of it.
+  bool IsOverLimit() const;
   bool HandleHead();
   void NewParser();
+  // Whether the answer that is being parsed goes to the sink.
+  bool IsDelivering() const;
   void DeliverBody();
   void HandleEnd();
   void Fail(call_failure failure);
@@ -76,6 +81,8 @@
   bool sent_any_ = false;
   bool head_seen_ = false;
   bool skipping_answer_ = false;
+  // Size of everything received before the answer that is delivered.
+  std::size_t bytes_before_answer_ = 0;
   bool reading_ = false;
   bool paused_ = false;
   bool closed_ = false;
--- a/packages/http/tests/client_test.cc
+++ b/packages/http/tests/client_test.cc
@@ -1,11 +1,17 @@
 #include "jasminepath/http/client.h"
 
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <ostream>
+
 #include "loop_fixture.h"
 
 namespace jasminepath::http {
 namespace {
 
 const std::string kRequest = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+constexpr char kChunkedHead[] =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 constexpr char kAnswer[] = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 BOOST_FIXTURE_TEST_CASE(ReusesTheConnectionForLaterCalls, loop_fixture) {
@@ -82,6 +88,46 @@
   }
 }
 
+// Bytes that never become a complete answer.
+struct endless_answer {
+  std::string name;
+  std::string beginning;
+  std::string piece;
+  bool is_skipped = false;
+};
+
+std::ostream& operator<<(std::ostream& out, const endless_answer& item) {
+  return out << item.name;
+}
+
+const std::vector<endless_answer> kEndlessAnswers = {
+    {"no_http", "", "garbage"},
+    {"reason", "HTTP/1.1 200 ", "x"},
+    {"field", "HTTP/1.1 200 OK\r\nX: ", "x"},
+    {"fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
+    {"interim_answers", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+    {"chunk_size", std::string(kChunkedHead) + "1", "0"},
+    {"chunk_extension", std::string(kChunkedHead) + "1", ";a=b"},
+    {"trailer", std::string(kChunkedHead) + "0\r\n", "X: y\r\n"},
+    {"skipped_answers", "", "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+     true},
+    {"skipped_body", "HTTP/1.1 200 OK\r\n\r\n", "x", true},
+    {"skipped_chunks", kChunkedHead, "1\r\nx\r\n", true},
+};
+
+BOOST_DATA_TEST_CASE_F(loop_fixture,
+                       EndsAnAnswerWithoutEndAsMalformed,
+                       boost::unit_test::data::make(kEndlessAnswers),
+                       item) {
+  endless_peer peer(*this, item.beginning, item.piece);
+  client subject(loop, peer.address());
+  collecting_sink sink;
+  sink.skip_all = item.is_skipped;
+  const auto call = subject.Send(kRequest, false, {}, sink);
+  RunUntil([&] { return sink.done(); });
+  BOOST_TEST((sink.failure == call_failure::malformed));
+}
+
 BOOST_FIXTURE_TEST_CASE(AHugeAnnouncedLengthAllocatesNothing, loop_fixture) {
   canned_peer peer(*this, {"HTTP/1.1 200 OK\r\n"
                            "Content-Length: 4611686018427387904\r\n\r\nhalf"});
--- a/packages/http/tests/loop_fixture.h
+++ b/packages/http/tests/loop_fixture.h
@@ -1,6 +1,7 @@
 #ifndef JASMINEPATH_HTTP_TESTS_LOOP_FIXTURE_H_
 #define JASMINEPATH_HTTP_TESTS_LOOP_FIXTURE_H_
 
+#include <array>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
@@ -161,9 +162,74 @@
   std::string received_;
 };
 
+// A peer that answers the first request on each connection with a beginning
+// and then repeats a piece until the client closes the connection, but no
+// further than kMaxWrittenBytes.
+class endless_peer {
+ public:
+  endless_peer(loop_fixture& fixture, std::string beginning, std::string piece)
+      : acceptor_(fixture.loop,
+                  {boost::asio::ip::make_address("127.0.0.1"), 0}),
+        beginning_(std::move(beginning)) {
+    while (pieces_.size() < kBlockBytes)
+      pieces_.append(piece);
+    Accept();
+  }
+
+  boost::asio::ip::tcp::endpoint address() const {
+    return acceptor_.local_endpoint();
+  }
+
+ private:
+  static constexpr std::size_t kBlockBytes = 8192;
+  static constexpr std::size_t kMaxWrittenBytes = std::size_t{64} << 20;
+
+  struct connection {
+    explicit connection(boost::asio::ip::tcp::socket accepted)
+        : socket(std::move(accepted)) {}
+    boost::asio::ip::tcp::socket socket;
+    std::array<char, 4096> buffer{};
+    std::size_t written = 0;
+  };
+
+  void Accept() {
+    acceptor_.async_accept([this](const boost::system::error_code& error,
+                                  boost::asio::ip::tcp::socket socket) {
+      if (error)
+        return;
+      const auto accepted = std::make_shared<connection>(std::move(socket));
+      connections_.push_back(accepted);
+      accepted->socket.async_read_some(
+          boost::asio::buffer(accepted->buffer),
+          [this, accepted](const boost::system::error_code& read_error,
+                           std::size_t) {
+            if (!read_error)
+              Write(accepted, beginning_.empty() ? pieces_ : beginning_);
+          });
+      Accept();
+    });
+  }
+  void Write(const std::shared_ptr<connection>& to, const std::string& bytes) {
+    boost::asio::async_write(
+        to->socket, boost::asio::buffer(bytes),
+        [this, to](const boost::system::error_code& error, std::size_t length) {
+          to->written += length;
+          if (!error && to->written < kMaxWrittenBytes)
+            Write(to, pieces_);
+        });
+  }
+
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::string beginning_;
+  std::string pieces_;
+  std::vector<std::shared_ptr<connection>> connections_;
+};
+
 // Records the answer or the failure of a call.
 struct collecting_sink : response_sink {
   bool OnHead(const response_head& received) override {
+    if (skip_all)
+      return false;
     if (skip_next) {
       skip_next = false;
       return false;
@@ -178,6 +244,7 @@
   bool done() const { return ended || failure; }
 
   bool skip_next = false;
+  bool skip_all = false;
   response_head head;
   std::string body;
   bool ended = false;
