Limit answers that are buffered because they can't be relayed yet

What callers saw: 504 at the deadline instead of an answer from another endpoint or a prompt 502, when an endpoint followed a valid head with bytes without end; the node kept all of them.

Cause: call_session relays a sealed answer of success beyond 256 KiB, but buffered every other body (unsealed, an error, a refusal) to its end, whatever its size.

Evidence: before the change, with an endpoint that writes 64 MiB and then waits, EndsAnAttemptWhoseAnswerHasNoEnd (platform_adapter_test) failed in rows _0 to _4 (unsealed, error, rejection, refusal, unsealed_stream) with "504 != 502", and RetriesARepeatableRequestAfterAnAnswerWithoutEnd with "504 != 200" and "1 != 2" requests. Row _5, a resumable stream, passed.

A buffered answer over the limit now ends its attempt as malformed. That counts as a run, also for a refusal without end, so only repeatable requests are sent again and no other is called not run.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -33,7 +33,8 @@
 // The same between two events of a stream, as a multiple of the route's pause
 // objective.
 constexpr int kSilenceTimeoutPauses = 3;
-// Answers up to this size are buffered and passed on as a whole.
+// Sealed answers of success are buffered up to this size and passed on as a
+// whole; all others must not exceed it.
 constexpr std::size_t kMaxBufferedAnswerBytes = 262144;
 // Unsent bytes for a slow caller at which reading from the endpoint is paused.
 constexpr std::size_t kMaxUnsentBytes = 262144;
@@ -352,9 +353,10 @@
   if (attempt_->relaying)
     return Relay(piece);
   attempt_->body.append(piece);
-  if (attempt_->body.size() <= kMaxBufferedAnswerBytes ||
-      !IsSuccess(attempt_->head.status) || !attempt_->fields.sealed)
+  if (attempt_->body.size() <= kMaxBufferedAnswerBytes)
     return;
+  if (!IsSuccess(attempt_->head.status) || !attempt_->fields.sealed)
+    return OnFailure(http::call_failure::malformed);
   attempt_->relaying = true;
   const std::string body = std::move(attempt_->body);
   Relay(body);
