--- a/packages/http/src/client_connection.h
+++ b/packages/http/src/client_connection.h
@@ -3,13 +3,13 @@
 
 #include <array>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
 
 #include "jasminepath/http/client.h"
+#include "received_body.h"
 
 namespace jasminepath::http {
 
@@ -53,8 +53,7 @@
   bool is_reused() const { return calls_ > 1; }
 
  private:
-  using parser =
-      boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using parser = boost::beast::http::response_parser<received_body>;
 
   void Connect();
   void Write();
@@ -62,8 +61,13 @@
   void OnRead(std::size_t length);
   void OnReadError(const boost::system::error_code& error);
   void Parse();
+  // Whether the peer has sent more than an answer may take before its body, or
+  // between two pieces of it.
+  bool IsOverLimit() const;
   bool HandleHead();
   void NewParser();
+  // Whether the answer that is being parsed goes to the sink.
+  bool IsDelivering() const;
   void DeliverBody();
   void HandleEnd();
   void Fail(call_failure failure);
@@ -85,6 +89,8 @@
   bool sent_any_ = false;
   bool head_seen_ = false;
   bool skipping_answer_ = false;
+  // Size of everything received before the answer that is delivered.
+  std::size_t bytes_before_answer_ = 0;
   bool reading_ = false;
   bool paused_ = false;
   bool closed_ = false;
