Limit each buffered answer to what its sender can need

What callers saw: nothing yet; found by review. Every buffered call accepted up to 32 MiB, also the answers to orders and reports, of which up to 140 may be under way on nodes of 160 MB.

Cause: the limit was one constant of buffered_call for all uses.

Evidence: by code only. The callers could not set a limit, so no test of them could fail before; BufferedCallRejectsABodyOverItsLimit (http_test) covers the new argument and passes.

Each use now passes its own limit to the constructor: 256 KiB for an engine, 4 MiB for a page of rows, 16 MiB for the changes of a table, 1 MiB for a write, 8 MiB for a peer's table, whose rows are compressed.

--- a/packages/gateway/src/order_dispatcher.cc
+++ b/packages/gateway/src/order_dispatcher.cc
@@ -10,6 +10,8 @@
 constexpr char kAuthorityKey[] = "placement";
 // Timeout of an order or a state query; engines answer both immediately.
 constexpr duration kEngineCallTimeout = Milliseconds(800);
+// Limit on an engine's answer. A report lists what the engine holds and runs.
+constexpr std::size_t kMaxEngineAnswerBytes = std::size_t{256} << 10;
 // Minimum time between two plans, per endpoint. A plan takes about a tenth of
 // it for any fleet size (see bench/gateway).
 constexpr duration kPlanSpacing = std::chrono::microseconds(20);
@@ -237,6 +239,7 @@
   const auto entry = std::prev(calls_.end());
   *entry = std::make_unique<http::buffered_call>(
       loop_, *endpoint.client, message, kEngineCallTimeout,
+      kMaxEngineAnswerBytes,
       [this, entry, done = std::move(done)](const http::response* answer,
                                             http::call_failure) {
         const auto finished = std::move(*entry);
--- a/packages/gateway/src/store_client.cc
+++ b/packages/gateway/src/store_client.cc
@@ -5,6 +5,11 @@
 
 // Timeout of a poll beyond the time that the store is asked to wait.
 constexpr duration kPollMargin = Milliseconds(800);
+// Limits on the store's answers: a page of rows, which the store ends at a
+// megabyte of rows; all changed rows of a table; the outcome of a write.
+constexpr std::size_t kMaxPageBytes = std::size_t{4} << 20;
+constexpr std::size_t kMaxPollBytes = std::size_t{16} << 20;
+constexpr std::size_t kMaxWriteAnswerBytes = std::size_t{1} << 20;
 
 }  // namespace
 
@@ -18,7 +23,7 @@
                                         const std::string& from_key,
                                         duration timeout,
                                         callback done) {
-  return Start(codec_.EncodeRead(table, from_key), timeout, true,
+  return Start(codec_.EncodeRead(table, from_key), timeout, kMaxPageBytes, true,
                std::move(done));
 }
 
@@ -26,22 +31,24 @@
                                         revision after,
                                         duration wait,
                                         callback done) {
-  return Start(codec_.EncodePoll(table, after, wait), wait + kPollMargin, true,
-               std::move(done));
+  return Start(codec_.EncodePoll(table, after, wait), wait + kPollMargin,
+               kMaxPollBytes, true, std::move(done));
 }
 
 store_client::handle store_client::Write(const conditional_write& write,
                                          callback done) {
-  return Start(codec_.EncodeWrite(write), kRowTimeout, false, std::move(done));
+  return Start(codec_.EncodeWrite(write), kRowTimeout, kMaxWriteAnswerBytes,
+               false, std::move(done));
 }
 
 store_client::handle store_client::Start(const http::request& message,
                                          duration timeout,
+                                         std::size_t max_body_bytes,
                                          bool expects_rows,
                                          callback done) {
   ++calls_;
   return std::make_unique<http::buffered_call>(
-      loop_, client_, message, timeout,
+      loop_, client_, message, timeout, max_body_bytes,
       [this, expects_rows, done = std::move(done)](const http::response* answer,
                                                    http::call_failure failure) {
         done(Interpret(answer, failure, expects_rows));
--- a/packages/gateway/src/store_client.h
+++ b/packages/gateway/src/store_client.h
@@ -68,6 +68,7 @@
  private:
   handle Start(const http::request& message,
                duration timeout,
+               std::size_t max_body_bytes,
                bool expects_rows,
                callback done);
   store_answer Interpret(const http::response* answer,
--- a/packages/gateway/src/table_relay.cc
+++ b/packages/gateway/src/table_relay.cc
@@ -12,6 +12,8 @@
 constexpr std::string_view kAfterParameter = "?after=";
 // Timeout of a fetch from a peer.
 constexpr duration kFetchTimeout = Milliseconds(800);
+// Limit on a fetched table, whose rows are compressed.
+constexpr std::size_t kMaxTableBytes = std::size_t{8} << 20;
 
 // Version of the last change that the peer knows; 0 if the target has no such
 // parameter.
@@ -59,7 +61,7 @@
                    std::to_string(table.copy().last_change().count());
   message.headers.Add("Host", table_server_address);
   call_ = std::make_unique<http::buffered_call>(
-      loop_, *client_, message, kFetchTimeout,
+      loop_, *client_, message, kFetchTimeout, kMaxTableBytes,
       [this, peer, &table](const http::response* answer, http::call_failure) {
         const auto finished = std::move(call_);
         OnFetched(answer, peer, table);
--- a/packages/http/include/jasminepath/http/client.h
+++ b/packages/http/include/jasminepath/http/client.h
@@ -112,19 +112,20 @@
 };
 
 // Makes one call, buffers its answer and passes it or the failure to a
-// callback. A body over 32 MiB fails as malformed. Destroying the object
-// cancels the call.
+// callback. Destroying the object cancels the call.
 class buffered_call : private response_sink {
  public:
   using callback =
       std::function<void(const response* answer, call_failure failure)>;
 
-  // `timeout` bounds the whole call. `done` is called once, with a null
-  // `answer` on failure, and may destroy this object.
+  // `timeout` bounds the whole call; a body over `max_body_bytes` fails it as
+  // malformed. `done` is called once, with a null `answer` on failure, and may
+  // destroy this object.
   buffered_call(event_loop& loop,
                 client& peer,
                 const request& message,
                 duration timeout,
+                std::size_t max_body_bytes,
                 callback done);
   ~buffered_call() override;
 
@@ -135,6 +136,7 @@
   void OnFailure(call_failure failure) override;
   void Complete(const response* answer, call_failure failure);
 
+  std::size_t max_body_bytes_;
   response answer_;
   callback done_;
   timer timer_;
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -5,11 +5,6 @@
 #include "client_connection.h"
 
 namespace jasminepath::http {
-namespace {
-
-constexpr std::size_t kMaxBufferedBodyBytes = std::size_t{32} << 20;
-
-}  // namespace
 
 std::string_view NameOf(call_failure failure) {
   switch (failure) {
@@ -102,8 +97,9 @@
                              client& peer,
                              const request& message,
                              duration timeout,
+                             std::size_t max_body_bytes,
                              callback done)
-    : done_(std::move(done)), timer_(loop) {
+    : max_body_bytes_(max_body_bytes), done_(std::move(done)), timer_(loop) {
   call_options options;
   options.connect_timeout = std::min<duration>(timeout, Seconds(1));
   options.head_timeout = timeout;
@@ -120,7 +116,7 @@
 }
 
 void buffered_call::OnBody(std::string_view piece) {
-  if (answer_.body.size() + piece.size() > kMaxBufferedBodyBytes)
+  if (answer_.body.size() + piece.size() > max_body_bytes_)
     return OnFailure(call_failure::malformed);
   answer_.body.append(piece);
 }
--- a/packages/http/tests/client_test.cc
+++ b/packages/http/tests/client_test.cc
@@ -180,7 +180,7 @@
   client subject(loop, peer.address());
   std::string body;
   const buffered_call call(loop, subject, {"GET", "/", {{"Host", "h"}}, ""},
-                           Seconds(5),
+                           Seconds(5), 2,
                            [&](const response* answer, call_failure) {
                              BOOST_REQUIRE(answer != nullptr);
                              body = answer->body;
@@ -189,5 +189,19 @@
   BOOST_TEST(body == "ok");
 }
 
+BOOST_FIXTURE_TEST_CASE(BufferedCallRejectsABodyOverItsLimit, loop_fixture) {
+  canned_peer peer(*this, {kAnswer});
+  client subject(loop, peer.address());
+  std::optional<call_failure> failure;
+  const buffered_call call(loop, subject, {"GET", "/", {{"Host", "h"}}, ""},
+                           Seconds(5), 1,
+                           [&](const response* answer, call_failure received) {
+                             BOOST_TEST(answer == nullptr);
+                             failure = received;
+                           });
+  RunUntil([&] { return failure.has_value(); });
+  BOOST_TEST((failure == call_failure::malformed));
+}
+
 }  // namespace
 }  // namespace jasminepath::http
--- a/soak/load_generator.cc
+++ b/soak/load_generator.cc
@@ -15,6 +15,7 @@
 // after which a node receives no calls.
 constexpr duration kCheckInterval = Seconds(1);
 constexpr int kFailedChecksToRemove = 2;
+constexpr std::size_t kMaxReadinessAnswerBytes = 1024;
 // Callers reuse connections that have been idle for at most 80% of the site's
 // idle timeout.
 constexpr duration kConnectionReuseLimit = Milliseconds(7200);
@@ -210,6 +211,7 @@
     each.readiness_check = std::make_unique<http::buffered_call>(
         loop_, *each.readiness_client,
         http::request{"GET", "/readyz", {{"Host", "h"}}, ""}, kCheckInterval,
+        kMaxReadinessAnswerBytes,
         [&each](const http::response* answer, http::call_failure) {
           const bool is_ready = answer != nullptr && answer->head.status == 200;
           each.failed_checks = is_ready ? 0 : each.failed_checks + 1;
