Treat a stream that ends inside an event as broken off

What callers saw: a stream that its endpoint broke off in the middle of an event ended as a complete answer, on routes whose streams can't be resumed.

Cause: call_session split only resumable streams into events. Of the others it knew nothing but the end of the HTTP message, and that is orderly when an answer without a length ends with its connection.

The session now follows the blank lines of streams that it relays as they arrive, without holding or copying bytes, and aborts the caller's answer if the last event lacks its blank line.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -393,8 +393,10 @@
 }
 
 void call_session::RelayEvents(std::string_view piece) {
-  if (!route_->resumable)
+  if (!route_->resumable) {
+    attempt_->events.Scan(piece);
     return Relay(piece);
+  }
   // Only complete events are relayed, so that the stream can be resumed at
   // another endpoint.
   if (!splitter_.Append(piece))
@@ -461,7 +463,7 @@
     return RetryOrFail("unsealed");
   }
   if (done.relaying && route_->kind == request_kind::streaming &&
-      splitter_.HasPartial()) {
+      (splitter_.HasPartial() || done.events.IsInsideEvent())) {
     EndAttempt(decision::attempt_end::cut);
     Avoid(done.endpoint->entry.id);
     splitter_.Reset();
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -10,6 +10,7 @@
 
 #include "call_context.h"
 #include "jasminepath/http/client.h"
+#include "jasminepath/http/event_boundary_scanner.h"
 #include "jasminepath/http/event_stream_splitter.h"
 #include "jasminepath/http/server.h"
 
@@ -41,6 +42,8 @@
     http::response_head head;
     bool head_seen = false;
     bool relaying = false;
+    // Position in a stream that cannot be resumed.
+    http::event_boundary_scanner events;
     std::string body;
   };
 
--- /dev/null
+++ b/packages/http/include/jasminepath/http/event_boundary_scanner.h
@@ -0,0 +1,28 @@
+#ifndef JASMINEPATH_HTTP_EVENT_BOUNDARY_SCANNER_H_
+#define JASMINEPATH_HTTP_EVENT_BOUNDARY_SCANNER_H_
+
+#include <cstddef>
+#include <string_view>
+
+namespace jasminepath::http {
+
+// Follows the boundaries between the server-sent events of a stream that is
+// relayed as it arrives, without keeping its bytes.
+class event_boundary_scanner {
+ public:
+  // Scans received bytes.
+  void Scan(std::string_view chunk);
+
+  // Whether the bytes scanned so far end before an event's final blank line.
+  bool IsInsideEvent() const { return event_bytes_ > 0; }
+
+ private:
+  // Sizes of the current event and of its current line so far.
+  std::size_t event_bytes_ = 0;
+  std::size_t line_bytes_ = 0;
+  char last_byte_ = '\0';
+};
+
+}  // namespace jasminepath::http
+
+#endif  // JASMINEPATH_HTTP_EVENT_BOUNDARY_SCANNER_H_
--- /dev/null
+++ b/packages/http/tests/event_boundary_scanner_test.cc
@@ -0,0 +1,31 @@
+#include "jasminepath/http/event_boundary_scanner.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+namespace jasminepath::http {
+namespace {
+
+BOOST_AUTO_TEST_CASE(ScannerFindsBoundariesForEverySplitOfTheInput) {
+  struct row {
+    std::string stream;
+    bool is_inside;
+  };
+  for (const row& item :
+       {row{"", false}, row{"\n", false}, row{"data: a\n\n", false},
+        row{"data: a\r\n\r\n", false}, row{"data: a\n\n\n", false},
+        row{"data: a\n\n: b\n\n", false}, row{"d", true},
+        row{"data: a\n", true}, row{"data: a\r\n\r", true},
+        row{"data: a\n\nid: 2\n", true}, row{"a\n\nb\r\n\r\nx\r\n", true},
+        row{"a\n\nb\nx\r", true}}) {
+    for (std::size_t cut = 0; cut <= item.stream.size(); ++cut) {
+      event_boundary_scanner scanner;
+      scanner.Scan(item.stream.substr(0, cut));
+      scanner.Scan(item.stream.substr(cut));
+      BOOST_TEST(scanner.IsInsideEvent() == item.is_inside);
+    }
+  }
+}
+
+}  // namespace
+}  // namespace jasminepath::http
