Cut a stream whose event has no end

What callers saw: bytes without end inside an event were relayed until the route's timeout, on routes whose streams can't be resumed.

Cause: the limit on the size of an event was applied only where streams are split into events, which is for resumable ones.

The scanner of event boundaries now has the same limit of 1 MiB, and the attempt ends as malformed.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -394,7 +394,8 @@
 
 void call_session::RelayEvents(std::string_view piece) {
   if (!route_->resumable) {
-    attempt_->events.Scan(piece);
+    if (!attempt_->events.Scan(piece))
+      return OnFailure(http::call_failure::malformed);
     return Relay(piece);
   }
   // Only complete events are relayed, so that the stream can be resumed at
--- a/packages/http/include/jasminepath/http/event_boundary_scanner.h
+++ b/packages/http/include/jasminepath/http/event_boundary_scanner.h
@@ -10,8 +10,9 @@
 // relayed as it arrives, without keeping its bytes.
 class event_boundary_scanner {
  public:
-  // Scans received bytes.
-  void Scan(std::string_view chunk);
+  // Scans received bytes. Returns false if they extend an event beyond
+  // kMaxEventBytes.
+  bool Scan(std::string_view chunk);
 
   // Whether the bytes scanned so far end before an event's final blank line.
   bool IsInsideEvent() const { return event_bytes_ > 0; }
--- a/packages/http/include/jasminepath/http/event_stream_splitter.h
+++ b/packages/http/include/jasminepath/http/event_stream_splitter.h
@@ -1,6 +1,7 @@
 #ifndef JASMINEPATH_HTTP_EVENT_STREAM_SPLITTER_H_
 #define JASMINEPATH_HTTP_EVENT_STREAM_SPLITTER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -8,6 +9,9 @@
 
 namespace jasminepath::http {
 
+// Limit on the size of one event.
+inline constexpr std::size_t kMaxEventBytes = std::size_t{1} << 20;
+
 // One server-sent event of a model stream.
 struct stream_event {
   // The bytes of the event as received, including its final blank line.
@@ -24,8 +28,7 @@
 // receives a partial one.
 class event_stream_splitter {
  public:
-  // Appends received bytes. Returns false if an event exceeds the size limit of
-  // 1 MiB.
+  // Appends received bytes. Returns false if an event exceeds kMaxEventBytes.
   bool Append(std::string_view chunk);
 
   // Removes and returns the next complete event, if there is one.
--- a/packages/http/src/event_boundary_scanner.cc
+++ b/packages/http/src/event_boundary_scanner.cc
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
+#include "jasminepath/http/event_stream_splitter.h"
+
 namespace jasminepath::http {
 
-void event_boundary_scanner::Scan(std::string_view chunk) {
+bool event_boundary_scanner::Scan(std::string_view chunk) {
   while (!chunk.empty()) {
     const std::size_t end = chunk.find('\n');
     const std::size_t length = std::min(end, chunk.size());
@@ -12,14 +14,17 @@
     line_bytes_ += length;
     if (length > 0)
       last_byte_ = chunk[length - 1];
+    if (event_bytes_ > kMaxEventBytes)
+      return false;
     if (end == std::string_view::npos)
-      return;
+      return true;
     const bool is_blank =
         line_bytes_ == 0 || (line_bytes_ == 1 && last_byte_ == '\r');
     event_bytes_ = is_blank ? 0 : event_bytes_ + 1;
     line_bytes_ = 0;
     chunk.remove_prefix(end + 1);
   }
+  return true;
 }
 
 }  // namespace jasminepath::http
--- a/packages/http/src/event_stream_splitter.cc
+++ b/packages/http/src/event_stream_splitter.cc
@@ -6,7 +6,6 @@
 namespace jasminepath::http {
 namespace {
 
-constexpr std::size_t kMaxEventBytes = 1 << 20;
 constexpr std::string_view kIndexField = "id:";
 constexpr std::string_view kDataField = "data:";
 constexpr std::string_view kDoneData = "[DONE]";
--- a/packages/http/tests/event_boundary_scanner_test.cc
+++ b/packages/http/tests/event_boundary_scanner_test.cc
@@ -3,6 +3,8 @@
 #include <boost/test/unit_test.hpp>
 #include <string>
 
+#include "jasminepath/http/event_stream_splitter.h"
+
 namespace jasminepath::http {
 namespace {
 
@@ -20,12 +22,19 @@
         row{"a\n\nb\nx\r", true}}) {
     for (std::size_t cut = 0; cut <= item.stream.size(); ++cut) {
       event_boundary_scanner scanner;
-      scanner.Scan(item.stream.substr(0, cut));
-      scanner.Scan(item.stream.substr(cut));
+      BOOST_TEST(scanner.Scan(item.stream.substr(0, cut)));
+      BOOST_TEST(scanner.Scan(item.stream.substr(cut)));
       BOOST_TEST(scanner.IsInsideEvent() == item.is_inside);
     }
   }
 }
 
+BOOST_AUTO_TEST_CASE(ScannerRejectsAnOversizedEvent) {
+  event_boundary_scanner scanner;
+  const std::string most(kMaxEventBytes, 'x');
+  BOOST_TEST(scanner.Scan(most));
+  BOOST_TEST(!scanner.Scan("x"));
+}
+
 }  // namespace
 }  // namespace jasminepath::http
