Log an answer that cannot continue as cut

A refusal after the answer had begun (a resumable stream whose model must be loaded anew) did nothing on the wire; the exchange's destructor closed the connection, and the log said 'refused'. The caller saw an answer end early. Now the log says why it could not continue, and the outcome is 'cut'. No behaviour on the wire changes.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -568,6 +568,11 @@
 void call_session::Refuse(int status,
                           std::string_view reason,
                           duration retry_after) {
+  if (answer_started_) {
+    Log("cannot_continue", reason, 0);
+    reply_->Abort();
+    return Finish("cut", 0);
+  }
   reply_->Respond(
       context_.codec.EncodeOwnAnswer(status, request_.id, retry_after), "");
   Log("refused", reason, status);
