Reject an authority row whose incarnation is out of range

A row of the authority table with an incarnation of 20 digits or more ended each node that read it, again after each start: std::stoull throws std::out_of_range, which nothing catches. std::from_chars reports the error, so the row is unreadable like other invalid rows.

--- a/packages/gateway/src/placement_lease.cc
+++ b/packages/gateway/src/placement_lease.cc
@@ -1,5 +1,7 @@
 #include "jasminepath/gateway/placement_lease.h"
 
+#include <charconv>
+#include <system_error>
 #include <utility>
 
 #include "jasminepath/config/json_value.h"
@@ -38,15 +40,16 @@
   const auto parsed = config::ParseJson(value);
   if (!parsed)
     return failure(decode_error{parsed.error().message});
-  const std::string incarnation =
-      parsed.value().StringOr(kIncarnationField, "");
+  const std::string text = parsed.value().StringOr(kIncarnationField, "");
+  uint64_t incarnation = 0;
+  const char* end = text.data() + text.size();
+  const auto number = std::from_chars(text.data(), end, incarnation);
   const int64_t fencing = parsed.value().IntegerOr(kEpochField, -1);
-  if (fencing < 0 || incarnation.empty() ||
-      incarnation.find_first_not_of("0123456789") != std::string::npos)
+  if (fencing < 0 || number.ec != std::errc() || number.ptr != end)
     return failure(decode_error{"authority row without epoch or incarnation"});
   authority_row row;
   row.holder = vm_id(parsed.value().StringOr(kHolderField, ""));
-  row.incarnation = std::stoull(incarnation);
+  row.incarnation = incarnation;
   row.fencing = epoch(fencing);
   return row;
 }
--- a/packages/gateway/tests/placement_lease_test.cc
+++ b/packages/gateway/tests/placement_lease_test.cc
@@ -280,5 +280,15 @@
     BOOST_TEST(!DecodeAuthority(text));
 }
 
+BOOST_AUTO_TEST_CASE(AnAuthorityRowWithATooLargeNumberIsUnreadable) {
+  for (const char* text :
+       {R"({"holder":"a","incarnation":"18446744073709551616","epoch":1})",
+        R"({"holder":"a","incarnation":"99999999999999999999999","epoch":1})",
+        R"({"holder":"a","incarnation":"1","epoch":1e300})",
+        R"({"holder":"a","incarnation":"1","epoch":1e999})",
+        R"({"holder":"a","incarnation":"1","epoch":99999999999999999999})"})
+    BOOST_TEST(!DecodeAuthority(text));
+}
+
 }  // namespace
 }  // namespace jasminepath::gateway
