Refuse prompt parts that crash endpoints

What callers saw: requests that share one part of their prompt, no two alike, crashed one endpoint after the other for as long as they came, and all other requests that ran there were cut.

Cause: crashes were counted by a fingerprint of the whole request only, so requests that differ in body or last part never reached the limit.

Change: each prompt part but the last is a suspect of its own. A crash without a first event or complete answer adds to the streak of each part, over all nodes; an answer with the part ends the streak. A streak of three blocks the part, of six if it was answered before, so that parts which sound requests share with a crashing one stay free. Crashes are named by endpoint, and reports hold sets of them, so lost, repeated or doubled reports do no harm. Reports are a new peer message that nodes of earlier releases skip; the digest's format is unchanged. Calls that wait are checked again before they are sent.

--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -160,7 +160,33 @@
   friend bool operator==(const table_changes&, const table_changes&) = default;
 };
 
-using peer_message = std::variant<peer_digest, load_notice, table_changes>;
+// What one node, or the nodes of a zone, have seen of a prompt part that is
+// suspected of crashing endpoints.
+struct part_evidence {
+  // Hash of the part's id.
+  uint64_t part = 0;
+  // Rises with each answer to a request with the part; 0 without a recent one.
+  uint64_t answers = 0;
+  // Ids of the crashes since the last answer.
+  std::vector<uint32_t> crashes;
+
+  friend bool operator==(const part_evidence&, const part_evidence&) = default;
+};
+
+// Sent with each digest while prompt parts are suspected. Self-contained, like
+// a digest. Nodes of earlier releases skip it.
+struct crash_report {
+  // Id of the node, or peer_group::NameOfZone() for a zone's report.
+  vm_id node;
+  zone_id zone;
+  bool is_zone_report = false;
+  std::vector<part_evidence> parts;
+
+  friend bool operator==(const crash_report&, const crash_report&) = default;
+};
+
+using peer_message =
+    std::variant<peer_digest, load_notice, table_changes, crash_report>;
 
 // A message with its delivery information.
 struct peer_envelope {
--- a/packages/gateway/src/call_context.h
+++ b/packages/gateway/src/call_context.h
@@ -12,6 +12,7 @@
 #include "jasminepath/gateway/fleet_rate_limiter.h"
 #include "jasminepath/gateway/ports.h"
 #include "jasminepath/report/event_log.h"
+#include "prompt_part_suspects.h"
 #include "wait_queue.h"
 
 namespace jasminepath::gateway {
@@ -42,6 +43,7 @@
   retry_budgets& retries;
   wait_queue& queue;
   crash_suspects& suspects;
+  prompt_part_suspects& part_suspects;
   gateway_metrics& metrics;
   // The active configuration; null until the first one has been read.
   site_pointer site;
--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -84,8 +84,9 @@
       std::min(request_.max_wait.value_or(route_->timeout), route_->timeout);
   deadline_ = arrived_at_ + max_wait;
   fingerprint_ = Fingerprint(request_, team_.id);
-  if (context_.suspects.IsBlocked(fingerprint_, boot_clock::now()))
-    return Refuse(503, "crashes_endpoints", kBlockedRetryAfter);
+  parts_ = SharedParts(request_);
+  if (IsBlocked())
+    return RefuseBlocked();
   if (!CheckRateLimit())
     return;
   ChooseService();
@@ -200,6 +201,8 @@
 void call_session::Dispatch() {
   if (TimeLeft() < kMinTimeToSend + kAnswerMargin)
     return FailCall();
+  if (IsBlocked())
+    return RefuseBlocked();
   const auto choice = context_.endpoints.Pick(MakeQuery(), boot_clock::now());
   if (!choice.endpoint)
     return WaitForEndpoint(choice.miss);
@@ -274,6 +277,7 @@
   context_.endpoints.Begin(*endpoint, NeededModel());
   attempt_ = attempt();
   attempt_->endpoint = std::move(endpoint);
+  attempt_->sent_at = boot_clock::now();
   http::call_options options = MakeCallOptions();
   if (attempt_->endpoint->health.ShouldUseNewConnection())
     options.max_idle_time = duration::zero();
@@ -310,6 +314,8 @@
   Avoid(silent);
   splitter_.Reset();
   Log("attempt_failed", "silent", 0);
+  if (IsBlocked())
+    return RefuseBlocked();
   const auto choice = context_.endpoints.Pick(MakeQuery(), boot_clock::now());
   if (choice.endpoint)
     return Send(choice.endpoint);
@@ -343,7 +349,25 @@
   return true;
 }
 
+void call_session::RecordAnswered() {
+  attempt_->answered = true;
+  context_.part_suspects.OnAnswered(parts_, boot_clock::now());
+}
+
+// A blank line ends an event.
+void call_session::DetectFirstEvent(std::string_view piece) {
+  for (const char c : piece) {
+    if (c == '\n' && attempt_->at_line_start)
+      return RecordAnswered();
+    if (c != '\r')
+      attempt_->at_line_start = c == '\n';
+  }
+}
+
 void call_session::OnBody(std::string_view piece) {
+  if (attempt_->relaying && route_->kind == request_kind::streaming &&
+      !attempt_->answered)
+    DetectFirstEvent(piece);
   if (attempt_->relaying && route_->kind == request_kind::streaming) {
     StartSilenceTimer();
     RelayEvents(piece);
@@ -421,6 +445,13 @@
   }
   ++runs_;
   may_have_run_ = true;
+  // A stream that ends with its connection may lack even its first event.
+  const bool is_stream = route_->kind == request_kind::streaming;
+  if (is_stream && IsSuccess(status) && !done.answered && !last_event_id_)
+    context_.part_suspects.OnCrash(parts_, done.endpoint->entry.id,
+                                   done.sent_at, boot_clock::now());
+  if (!is_stream && IsSuccess(status) && done.fields.sealed)
+    RecordAnswered();
   if (!done.fields.sealed && IsSuccess(status)) {
     EndAttempt(decision::attempt_end::cut);
     return RetryOrFail("unsealed");
@@ -459,6 +490,9 @@
     may_have_run_ = true;
     if (failure == http::call_failure::broken && !done.head_seen)
       context_.suspects.OnCrash(fingerprint_, boot_clock::now());
+    if (failure == http::call_failure::broken && !done.answered)
+      context_.part_suspects.OnCrash(parts_, done.endpoint->entry.id,
+                                     done.sent_at, boot_clock::now());
   }
   EndAttempt(sent ? decision::attempt_end::cut
                   : decision::attempt_end::connect_failed);
@@ -480,12 +514,23 @@
 
 void call_session::RetryOrFail(const std::string& reason) {
   Log("attempt_failed", reason, 0);
-  if (!CanRetry() ||
-      context_.suspects.IsBlocked(fingerprint_, boot_clock::now()))
+  if (!CanRetry())
     return FailCall();
   Dispatch();
 }
 
+bool call_session::IsBlocked() const {
+  const time_point now = boot_clock::now();
+  return context_.suspects.IsBlocked(fingerprint_, now) ||
+         context_.part_suspects.IsBlocked(parts_, now);
+}
+
+void call_session::RefuseBlocked() {
+  if (may_have_run_)
+    return FailCall();
+  Refuse(503, "crashes_endpoints", kBlockedRetryAfter);
+}
+
 // Ends the call with the most specific failure that is certain.
 void call_session::FailCall() {
   if (answer_started_) {
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -39,6 +39,11 @@
     answer_fields fields;
     http::response_head head;
     bool head_seen = false;
+    time_point sent_at{};
+    // The first event of a stream or the complete answer was received.
+    bool answered = false;
+    // The last byte received of a stream ended a line.
+    bool at_line_start = false;
     bool relaying = false;
     std::string body;
   };
@@ -58,6 +63,7 @@
   http::call_options MakeCallOptions() const;
   void StartSilenceTimer();
   void OnSilence();
+  void DetectFirstEvent(std::string_view piece);
 
   bool OnHead(const http::response_head& head) override;
   void OnBody(std::string_view piece) override;
@@ -71,6 +77,12 @@
   // Retries the request after a failed attempt, or ends the call.
   void RetryOrFail(const std::string& reason);
   bool CanRetry();
+  // Whether the request must not be sent because it crashes endpoints.
+  bool IsBlocked() const;
+  void RefuseBlocked();
+  // Records that the attempt's endpoint works on requests with these prompt
+  // parts.
+  void RecordAnswered();
   void FailCall();
 
   void Refuse(int status, std::string_view reason, duration retry_after);
@@ -92,6 +104,8 @@
   int64_t priority_ = 0;
   int64_t charged_tokens_ = 0;
   uint64_t fingerprint_ = 0;
+  // See SharedParts().
+  std::vector<uint64_t> parts_;
   uint64_t affinity_ = 0;
   int64_t shared_tokens_ = 0;
   time_point arrived_at_{};
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -83,8 +83,10 @@
       endpoints_(loop_, settings.zone),
       retries_(settings.bounds.retry_share, settings.bounds.retry_reserve),
       suspects_(settings.node),
-      context_{loop_,    codec_, log_,      endpoints_, limiter_,
-               retries_, queue_, suspects_, metrics_,   nullptr},
+      part_suspects_(settings.node),
+      context_{loop_,          codec_,   log_,   endpoints_,
+               limiter_,       retries_, queue_, suspects_,
+               part_suspects_, metrics_, nullptr},
       store_(loop_, store, codec_, log_),
       site_rows_(loop_,
                  store_,
@@ -263,6 +265,7 @@
   gauges.store_failures = store_.failures();
   gauges.peers = static_cast<int64_t>(peers_.peers().size());
   gauges.site_version = context_.site ? context_.site->version() : 0;
+  gauges.blocked_parts = part_suspects_.BlockedCount(boot_clock::now());
   gauges.orders = order_dispatcher_.sent_orders();
   gauges.holds_placement = order_dispatcher_.IsHolder(boot_clock::now());
   gauges.ready = IsReady();
@@ -410,6 +413,11 @@
     }
     return;
   }
+  if (const auto* report = std::get_if<crash_report>(&message)) {
+    if (report->is_zone_report == (report->zone != settings_.zone))
+      part_suspects_.OnReport(*report, boot_clock::now());
+    return;
+  }
   ApplyNotice(std::get<load_notice>(message), boot_clock::now());
   queue_.WakeAll();
 }
@@ -457,6 +465,7 @@
   limiter_.ForgetPeer(node);
   order_dispatcher_.ForgetPeer(node);
   summary_.Forget(node);
+  part_suspects_.ForgetPeer(node);
 }
 
 // The notices of this node's planners apply to this node as well.
@@ -512,11 +521,30 @@
     zone_digest.endpoints_change = digest.endpoints_change;
     peers_.SendZoneDigest(zone_digest, holder, now);
   }
+  SendCrashReports(now);
   order_dispatcher_.OnDigest(digest, now);
   if (order_dispatcher_.IsHolder(now))
     order_dispatcher_.Tick(now);
 }
 
+void gateway_node::SendCrashReports(time_point now) {
+  for (const blocked_part& blocked : part_suspects_.TakeNewlyBlocked(now))
+    log_.Write(report::log_level::warning, "prompt_part_blocked",
+               {{"part", std::to_string(blocked.part)},
+                {"crashes", blocked.crashes},
+                {"answered", static_cast<int64_t>(blocked.answered)}});
+  crash_report own = part_suspects_.OwnReport(now);
+  own.zone = settings_.zone;
+  if (!own.parts.empty())
+    peers_.BroadcastInZone(own);
+  if (!peers_.IsZoneRepresentative(now))
+    return;
+  crash_report zone_report = part_suspects_.ZoneReport(settings_.zone, now);
+  zone_report.node = peer_group::NameOfZone(settings_.zone);
+  if (!zone_report.parts.empty())
+    peers_.SendToOtherZones(zone_report, now);
+}
+
 // Informs the placement holder immediately that a call waits for a load.
 void gateway_node::SendUrgentDemand() {
   const time_point now = boot_clock::now();
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -58,6 +58,7 @@
   void OnNotice(const load_notice& notice);
   peer_digest MakeDigest(time_point now);
   void SendDigest();
+  void SendCrashReports(time_point now);
   void SendUrgentDemand();
   void BroadcastTableChanges(const table_changes& changes);
   // Time until the next digest.
@@ -85,6 +86,7 @@
   retry_budgets retries_;
   wait_queue queue_;
   crash_suspects suspects_;
+  prompt_part_suspects part_suspects_;
   call_context context_;
   store_client store_;
   table_follower site_rows_;
--- a/packages/gateway/src/peer_digest.cc
+++ b/packages/gateway/src/peer_digest.cc
@@ -68,6 +68,17 @@
         m.complete_to, m.is_snapshot, m.rows);
 }
 
+template <typename Message, typename Visitor>
+requires std::is_same_v<std::remove_const_t<Message>, part_evidence>
+void ForEachField(Message& m, Visitor&& visit) {
+  visit(m.part, m.answers, m.crashes);
+}
+template <typename Message, typename Visitor>
+requires std::is_same_v<std::remove_const_t<Message>, crash_report>
+void ForEachField(Message& m, Visitor&& visit) {
+  visit(m.node, m.zone, m.is_zone_report, m.parts);
+}
+
 using packer = msgpack::packer<msgpack::sbuffer>;
 
 template <typename T>
@@ -220,6 +231,9 @@
         return peer_envelope{UnpackMessage<table_changes>(*rows),
                              broadcast_origin};
       }
+      case 3:
+        return peer_envelope{UnpackMessage<crash_report>(content),
+                             broadcast_origin};
       default:
         return std::nullopt;
     }
--- a/packages/gateway/src/peer_group.cc
+++ b/packages/gateway/src/peer_group.cc
@@ -100,6 +100,11 @@
     from_other_zone =
         digest->zone != zone_ && sender_in_other_zone.value_or(true);
     RecordDigest(*digest, from_other_zone);
+  } else if (const auto* report = std::get_if<crash_report>(&message)) {
+    if (report->node == self_ || report->node.empty())
+      return;
+    from_other_zone = !is_broadcast && report->zone != zone_ &&
+                      sender_in_other_zone.value_or(true);
   }
   if (is_broadcast && envelope->broadcast_origin != self_)
     Forward(envelope->broadcast_origin, bytes);
--- a/packages/gateway/tests/peer_digest_test.cc
+++ b/packages/gateway/tests/peer_digest_test.cc
@@ -140,6 +140,13 @@
   notice.change = load_change::closing;
   BOOST_TEST((DecodePeerMessage(EncodePeerMessage(notice)) ==
               peer_envelope{notice, {}}));
+  crash_report report;
+  report.node = vm_id("n");
+  report.zone = zone_id("z");
+  report.is_zone_report = true;
+  report.parts = {{18446744073709551615ULL, 7, {1, 4294967295U}}, {3, 0, {}}};
+  BOOST_TEST((DecodePeerMessage(EncodePeerMessage(report)) ==
+              peer_envelope{report, {}}));
   for (std::size_t length = 0; length < bytes.size(); ++length)
     BOOST_TEST(!DecodePeerMessage(bytes.substr(0, length)));
   BOOST_TEST(!DecodePeerMessage("nonsense"));
--- a/packages/gateway/tests/peer_group_test.cc
+++ b/packages/gateway/tests/peer_group_test.cc
@@ -68,6 +68,15 @@
     notice.model = model_id("m");
     nodes_[from]->peers.BroadcastInZone(notice);
   }
+  void SendZoneCrashReport(std::size_t from) {
+    crash_report report;
+    report.node = peer_group::NameOfZone(nodes_[from]->zone);
+    report.zone = nodes_[from]->zone;
+    report.is_zone_report = true;
+    report.parts = {{1, 0, {2, 3}}};
+    nodes_[from]->peers.SendToOtherZones(report, boot_clock::now());
+  }
+  int CrashReportsAt(std::size_t i) const { return nodes_[i]->crash_reports; }
   int NoticesAt(std::size_t i) const { return nodes_[i]->notices; }
 
   // Index of the node that node `i` regards as its zone's representative.
@@ -120,6 +129,7 @@
     int64_t cpu_millicores;
     peer_group peers;
     int notices = 0;
+    int crash_reports = 0;
     std::vector<peer_digest> digests;
     std::vector<table_changes> changes;
   };
@@ -135,6 +145,8 @@
       ++datagrams_;
       if (std::holds_alternative<load_notice>(message))
         ++started.notices;
+      if (std::holds_alternative<crash_report>(message))
+        ++started.crash_reports;
       if (const auto* digest = std::get_if<peer_digest>(&message))
         started.digests.push_back(*digest);
       if (const auto* changes = std::get_if<table_changes>(&message))
@@ -170,6 +182,17 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(CrashReportsReachAllNodesOfOtherZonesOnly) {
+  peers_fixture zones({3, 6});
+  zones.ExchangeDigests();
+  zones.SendZoneCrashReport(zones.RepresentativeOf(0));
+  zones.RunUntilIdle();
+  for (std::size_t i = 0; i < 3; ++i)
+    BOOST_TEST(zones.CrashReportsAt(i) == 0);
+  for (std::size_t i = 3; i < 9; ++i)
+    BOOST_TEST(zones.CrashReportsAt(i) >= 1);
+}
+
 BOOST_AUTO_TEST_CASE(BroadcastReachesNodesWithoutDigestDirectly) {
   peers_fixture zone({12});
   zone.Broadcast(0);
--- /dev/null
+++ b/packages/gateway/tests/prompt_part_suspects_test.cc
@@ -0,0 +1,254 @@
+#include "prompt_part_suspects.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace jasminepath::gateway {
+namespace {
+
+constexpr uint64_t kBad = 1;
+constexpr uint64_t kShared = 2;
+
+time_point At(int64_t ms) {
+  return time_point{} + Seconds(1000) + Milliseconds(ms);
+}
+
+endpoint_id Endpoint(int64_t number) {
+  return endpoint_id("e" + std::to_string(number));
+}
+
+// A request with `parts` was sent at `ms` and has crashed its endpoint 10 ms
+// later.
+void Crash(prompt_part_suspects& suspects,
+           const std::vector<uint64_t>& parts,
+           int64_t endpoint,
+           int64_t ms) {
+  suspects.OnCrash(parts, Endpoint(endpoint), At(ms), At(ms + 10));
+}
+
+void Deliver(const prompt_part_suspects& from,
+             prompt_part_suspects& to,
+             int64_t ms) {
+  to.OnReport(from.OwnReport(At(ms)), At(ms));
+}
+
+BOOST_AUTO_TEST_CASE(BlocksPartAfterThreeCrashes) {
+  prompt_part_suspects suspects(vm_id("self"));
+  Crash(suspects, {kBad}, 1, 0);
+  Crash(suspects, {kBad}, 2, 100);
+  BOOST_TEST(!suspects.IsBlocked({kBad}, At(200)));
+  Crash(suspects, {kBad}, 3, 200);
+  BOOST_TEST(suspects.IsBlocked({kBad}, At(300)));
+  BOOST_TEST(suspects.IsBlocked({7, kBad}, At(300)));
+  BOOST_TEST(!suspects.IsBlocked({7}, At(300)));
+  BOOST_TEST(suspects.BlockedCount(At(300)) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(CountsCrashesOfAllNodes) {
+  prompt_part_suspects a(vm_id("a"));
+  prompt_part_suspects b(vm_id("b"));
+  prompt_part_suspects c(vm_id("c"));
+  Crash(a, {kBad}, 1, 0);
+  Crash(b, {kBad}, 2, 50);
+  Crash(c, {kBad}, 3, 100);
+  Deliver(b, a, 200);
+  BOOST_TEST(!a.IsBlocked({kBad}, At(200)));
+  Deliver(c, a, 210);
+  Deliver(c, a, 220);
+  BOOST_TEST(a.IsBlocked({kBad}, At(220)));
+  BOOST_TEST(!b.IsBlocked({kBad}, At(220)));
+}
+
+BOOST_AUTO_TEST_CASE(OneCrashSeenByManyNodesCountsOnce) {
+  prompt_part_suspects a(vm_id("a"));
+  Crash(a, {kShared}, 1, 0);
+  for (const char* node : {"b", "c", "d"}) {
+    prompt_part_suspects other((vm_id(node)));
+    Crash(other, {kShared}, 1, 2);
+    Deliver(other, a, 300);
+  }
+  BOOST_TEST(!a.IsBlocked({kShared}, At(300)));
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionsLostTogetherCountOnce) {
+  prompt_part_suspects suspects(vm_id("self"));
+  for (int64_t endpoint = 0; endpoint < 9; ++endpoint)
+    suspects.OnCrash({kShared}, Endpoint(endpoint), At(endpoint),
+                     At(100 + endpoint));
+  BOOST_TEST(!suspects.IsBlocked({kShared}, At(200)));
+}
+
+BOOST_AUTO_TEST_CASE(CountsEachCrashOfAnEndpointThatKeepsItsId) {
+  prompt_part_suspects suspects(vm_id("self"));
+  for (int64_t i = 0; i < 3; ++i)
+    Crash(suspects, {kBad}, 1, i * 4000);
+  BOOST_TEST(suspects.IsBlocked({kBad}, At(9000)));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerEndsTheStreak) {
+  prompt_part_suspects suspects(vm_id("self"));
+  for (int64_t i = 0; i < 20; ++i) {
+    Crash(suspects, {kBad, kShared}, i, i * 100);
+    suspects.OnAnswered({kShared}, At(i * 100 + 50));
+  }
+  BOOST_TEST(!suspects.IsBlocked({kShared}, At(2000)));
+  BOOST_TEST(suspects.IsBlocked({kBad}, At(2000)));
+}
+
+// A popular part shared with a crashing one was blocked before an answer to it
+// was reported.
+BOOST_AUTO_TEST_CASE(PartAnsweredBeforeOutlastsTheCrashingPart) {
+  prompt_part_suspects suspects(vm_id("self"));
+  suspects.OnAnswered({kShared}, At(0));
+  for (int64_t i = 0; i < 5; ++i)
+    Crash(suspects, {kBad, kShared}, i, 100 + i * 100);
+  BOOST_TEST(suspects.IsBlocked({kBad}, At(600)));
+  BOOST_TEST(!suspects.IsBlocked({kShared}, At(600)));
+}
+
+BOOST_AUTO_TEST_CASE(BlocksAnsweredPartThatBeginsToCrash) {
+  prompt_part_suspects suspects(vm_id("self"));
+  suspects.OnAnswered({kBad}, At(0));
+  for (int64_t i = 0; i < 6; ++i)
+    Crash(suspects, {kBad}, i, 100 + i * 100);
+  BOOST_TEST(suspects.IsBlocked({kBad}, At(700)));
+  BOOST_TEST(!suspects.IsBlocked({kBad}, At(31000)));
+}
+
+BOOST_AUTO_TEST_CASE(AnswersOfOtherNodesEndTheStreak) {
+  prompt_part_suspects a(vm_id("a"));
+  prompt_part_suspects b(vm_id("b"));
+  b.OnAnswered({kShared}, At(0));
+  for (int64_t i = 0; i < 2; ++i)
+    Crash(a, {kBad, kShared}, i, 100 + i * 100);
+  // The answer precedes the crashes but shows that the part is in use.
+  Deliver(a, b, 300);
+  Deliver(b, a, 310);
+  for (int64_t i = 2; i < 7; ++i)
+    Crash(a, {kBad, kShared}, i, 100 + i * 100);
+  BOOST_TEST(a.IsBlocked({kBad}, At(900)));
+  BOOST_TEST(!a.IsBlocked({kShared}, At(900)));
+  Crash(a, {kShared}, 7, 900);
+  BOOST_TEST(a.IsBlocked({kShared}, At(950)));
+  // Repeated without a new answer.
+  Deliver(b, a, 960);
+  BOOST_TEST(a.IsBlocked({kShared}, At(960)));
+  b.OnAnswered({kShared}, At(970));
+  Deliver(b, a, 980);
+  BOOST_TEST(!a.IsBlocked({kShared}, At(980)));
+  // The cleared crashes do not return.
+  Deliver(a, b, 990);
+  Deliver(b, a, 1000);
+  BOOST_TEST(!a.IsBlocked({kShared}, At(1000)));
+  BOOST_TEST(a.IsBlocked({kBad}, At(1000)));
+}
+
+BOOST_AUTO_TEST_CASE(LostAndRepeatedReportsDoNotMatter) {
+  prompt_part_suspects a(vm_id("a"));
+  prompt_part_suspects b(vm_id("b"));
+  for (int64_t i = 0; i < 3; ++i)
+    Crash(a, {kBad}, i, i * 100);
+  // Only the last report arrives, several times.
+  for (int64_t i = 0; i < 4; ++i)
+    Deliver(a, b, 900 + i * 300);
+  BOOST_TEST(b.IsBlocked({kBad}, At(2000)));
+  BOOST_TEST(b.BlockedCount(At(2000)) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(ARestartedNodeChangesNothing) {
+  prompt_part_suspects a(vm_id("a"));
+  prompt_part_suspects b(vm_id("b"));
+  Crash(a, {kBad}, 1, 0);
+  Crash(a, {kBad}, 2, 100);
+  Deliver(a, b, 200);
+  prompt_part_suspects restarted(vm_id("a"));
+  Deliver(restarted, b, 300);
+  Deliver(b, restarted, 300);
+  Crash(b, {kBad}, 3, 400);
+  BOOST_TEST(b.IsBlocked({kBad}, At(500)));
+  // An answer at the restarted node counts, whatever it has forgotten.
+  Crash(restarted, {kBad}, 4, 500);
+  restarted.OnAnswered({kBad}, At(600));
+  Deliver(restarted, b, 700);
+  BOOST_TEST(!b.IsBlocked({kBad}, At(700)));
+}
+
+BOOST_AUTO_TEST_CASE(ZoneReportsCombineTheirNodes) {
+  prompt_part_suspects a(vm_id("a"));
+  prompt_part_suspects b(vm_id("b"));
+  prompt_part_suspects other(vm_id("c"));
+  Crash(a, {kBad, kShared}, 1, 0);
+  Crash(a, {kBad, kShared}, 2, 100);
+  Crash(b, {kBad}, 2, 102);
+  Crash(b, {kBad}, 3, 200);
+  b.OnAnswered({kShared}, At(250));
+  Deliver(a, b, 300);
+  Deliver(b, a, 300);
+  const crash_report zone = b.ZoneReport(zone_id("z"), At(400));
+  BOOST_TEST(zone.is_zone_report);
+  BOOST_TEST(zone.parts.size() == 2);
+  BOOST_TEST(zone.parts[0].part == kBad);
+  BOOST_TEST(zone.parts[0].crashes.size() == 3);
+  BOOST_TEST(zone.parts[0].answers == 0);
+  other.OnReport(zone, At(500));
+  BOOST_TEST(other.IsBlocked({kBad}, At(500)));
+  BOOST_TEST(!other.IsBlocked({kShared}, At(500)));
+  // Reports of other zones do not return to them.
+  BOOST_TEST(other.ZoneReport(zone_id("y"), At(600)).parts.empty());
+  // A node that is no longer heard is left out.
+  BOOST_TEST(b.ZoneReport(zone_id("z"), At(9000)).parts[0].crashes.size() == 2);
+}
+
+BOOST_AUTO_TEST_CASE(ABlockEndsAfterTheLastCrash) {
+  prompt_part_suspects suspects(vm_id("self"));
+  for (int64_t i = 0; i < 3; ++i)
+    Crash(suspects, {kBad}, i, i * 100);
+  BOOST_TEST(suspects.IsBlocked({kBad}, At(119000)));
+  BOOST_TEST(!suspects.IsBlocked({kBad}, At(121000)));
+  BOOST_TEST(suspects.OwnReport(At(121000)).parts.empty());
+}
+
+BOOST_AUTO_TEST_CASE(ReportsEachBlockOnce) {
+  prompt_part_suspects suspects(vm_id("self"));
+  for (int64_t i = 0; i < 3; ++i)
+    Crash(suspects, {kBad}, i, i * 100);
+  BOOST_TEST((suspects.TakeNewlyBlocked(At(300)) ==
+              std::vector<blocked_part>{{kBad, 3, false}}));
+  BOOST_TEST(suspects.TakeNewlyBlocked(At(400)).empty());
+}
+
+BOOST_AUTO_TEST_CASE(ReportsStayBoundedAndKeepTheMostCrashedPart) {
+  prompt_part_suspects suspects(vm_id("self"));
+  int64_t crashes = 0;
+  for (uint64_t part = 100; part < 1000; ++part) {
+    Crash(suspects, {part}, crashes, crashes * 100);
+    ++crashes;
+    if (part % 100 == 0)
+      Crash(suspects, {kBad}, 10000 + crashes, crashes * 100);
+  }
+  crash_report report = suspects.OwnReport(At(crashes * 100));
+  BOOST_TEST(report.parts.front().part == kBad);
+  BOOST_TEST(EncodePeerMessage(report).size() < 4096U);
+  for (part_evidence& evidence : report.parts)
+    evidence.crashes.assign(8, 0xffffffffU);
+  BOOST_TEST(EncodePeerMessage(report).size() < 4096U);
+}
+
+BOOST_AUTO_TEST_CASE(SharedPartsLeaveOutTheLastOne) {
+  caller_request request;
+  BOOST_TEST(SharedParts(request).empty());
+  request.prompt = {{"a", 1}};
+  BOOST_TEST(SharedParts(request).empty());
+  request.prompt = {{"a", 1}, {"b", 9}, {"c", 2}};
+  const auto parts = SharedParts(request);
+  BOOST_TEST(parts.size() == 2);
+  // Neither the tokens nor the other parts matter.
+  caller_request other;
+  other.prompt = {{"b", 1}, {"d", 1}};
+  BOOST_TEST(
+      (SharedParts(other)[0] == parts[0] || SharedParts(other)[0] == parts[1]));
+}
+
+}  // namespace
+}  // namespace jasminepath::gateway
