Do not complete a begun stream with an endpoint's error

Callers saw a stream end as complete before its last event (ORDER): after a resumable stream had broken off, the endpoint that should go on answered 500, 504 or 404, and the begun answer was finished as if that were its end.

Cause: OnEnd() looked at the status only while the answer had not begun. A begun answer now needs a stream to go on with; any other answer ends the attempt, and the call goes on elsewhere or is cut.

AStreamThatIsNotContinuedIsNotComplete fails before the change for 500 and 404 (200 != 0).

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -499,7 +499,12 @@
     splitter_.Reset();
     return RetryOrFail("cut_event");
   }
-  if (status >= 500 && !answer_started_) {
+  if (answer_started_ && !done.relaying) {
+    EndAttempt(decision::attempt_end::server_error);
+    Avoid(done.endpoint->entry.id);
+    return RetryOrFail("no_continuation");
+  }
+  if (status >= 500) {
     EndAttempt(decision::attempt_end::server_error);
     Avoid(done.endpoint->entry.id);
     endpoint_failure_ = http::response{done.head, done.body};
