Do not continue a large plain answer with a second run's body

Callers could see bytes of two runs in one answer (MIXED): an answer of a repeatable request that is too large to be buffered is relayed as it arrives; when it broke off, the request was sent again and the second answer's body was appended from its start.

A begun answer is now sent again only if it is a stream. Before the change ALargeAnswerThatBreaksOffIsNotCompletedByAnother fails (200 != 0).

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -547,7 +547,10 @@
   RetryOrFail(std::string(http::NameOf(failure)));
 }
 
+// A begun answer can be continued only if it is a stream.
 bool call_session::CanRetry() {
+  if (answer_started_ && route_->kind != request_kind::streaming)
+    return false;
   if (may_have_run_ && !route_->IsRepeatable())
     return false;
   return runs_ < std::max<int64_t>(route_->max_attempts, 1);
