--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -222,18 +222,19 @@
 void call_session::WaitForEndpoint(pick_miss miss) {
   const time_point now = boot_clock::now();
   const bool for_load = miss == pick_miss::not_loaded;
-  if (for_load && spec_ != nullptr && spec_->engine &&
+  const bool may_refuse = for_load && !answer_started_;
+  if (may_refuse && spec_ != nullptr && spec_->engine &&
       spec_->engine->FindModel(request_.model) == nullptr)
     return Refuse(503, "unknown_model", kDefaultRetryAfter);
   const time_point ready_at = context_.queue.ReadyAt(request_.model);
-  if (for_load && ready_at > deadline_ - kMinTimeToSend)
+  if (may_refuse && ready_at > deadline_ - kMinTimeToSend)
     return Refuse(503, "load_too_late",
                   std::max<duration>(ready_at - now, kDefaultRetryAfter));
   // This node exits before the load completes; another node may serve the
   // request.
-  if (for_load && ready_at > context_.ends_at - kMinTimeToSend)
+  if (may_refuse && ready_at > context_.ends_at - kMinTimeToSend)
     return Refuse(503, "node_stops", kDefaultRetryAfter);
-  if (for_load && now - std::max(ready_at, arrived_at_) > kLoadWaitTimeout)
+  if (may_refuse && now - std::max(ready_at, arrived_at_) > kLoadWaitTimeout)
     return Refuse(503, "not_loaded", kDefaultRetryAfter);
   if (queued_ && queued_for_load_ == for_load)
     return;
@@ -335,7 +336,10 @@
   endpoint_query query = MakeQuery();
   query.avoid.push_back(silent);
   const auto choice = context_.endpoints.Pick(query, boot_clock::now());
-  if (!choice.endpoint || tries_ >= kMaxTries ||
+  const bool is_in_rotation =
+      choice.endpoint && choice.endpoint->health.StageAt(boot_clock::now()) ==
+                             decision::endpoint_health::stage::in_use;
+  if (!is_in_rotation || tries_ >= kMaxTries ||
       TimeLeft() < kMinTimeToSend + kAnswerMargin || IsBlocked() ||
       !context_.retries.For(service_).Take())
     return StartSilenceTimer();
