--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -487,7 +487,9 @@
   may_have_run_ = true;
   // A stream that ends with its connection may lack even its first event.
   const bool is_stream = route_->kind == request_kind::streaming;
-  if (is_stream && IsSuccess(status) && !done.answered && !last_event_id_)
+  const bool has_events = done.fields.sealed && status == 200 &&
+                          request_.method != "HEAD" && !last_event_id_;
+  if (is_stream && has_events && !done.answered)
     context_.part_suspects.OnCrash(parts_, done.endpoint->entry.id,
                                    done.sent_at, boot_clock::now());
   if (!is_stream && IsSuccess(status) && done.fields.sealed)
