Detect a stream's first event where its events are read already

call_session had a third parser of event boundaries beside event_boundary_scanner and event_stream_splitter. The scanner now tells whether an event has ended, and the splitter's first event says so itself. The only difference: blank lines ahead of the first event are no event.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -383,24 +383,13 @@
 }
 
 void call_session::RecordAnswered() {
+  if (attempt_->answered)
+    return;
   attempt_->answered = true;
   context_.part_suspects.OnAnswered(parts_, boot_clock::now());
 }
 
-// A blank line ends an event.
-void call_session::DetectFirstEvent(std::string_view piece) {
-  for (const char c : piece) {
-    if (c == '\n' && attempt_->at_line_start)
-      return RecordAnswered();
-    if (c != '\r')
-      attempt_->at_line_start = c == '\n';
-  }
-}
-
 void call_session::OnBody(std::string_view piece) {
-  if (attempt_->relaying && route_->kind == request_kind::streaming &&
-      !attempt_->answered)
-    DetectFirstEvent(piece);
   if (attempt_->relaying && route_->kind == request_kind::streaming) {
     StartSilenceTimer();
     RelayEvents(piece);
@@ -422,6 +411,8 @@
   if (!route_->resumable) {
     if (!attempt_->events.Scan(piece))
       return OnFailure(http::call_failure::malformed);
+    if (attempt_->events.HasCompleteEvent())
+      RecordAnswered();
     return Relay(piece);
   }
   // Only complete events are relayed, so that the stream can be resumed at
@@ -429,6 +420,7 @@
   if (!splitter_.Append(piece))
     return OnFailure(http::call_failure::malformed);
   while (auto event = splitter_.Next()) {
+    RecordAnswered();
     if (event->index)
       last_event_id_ = std::to_string(*event->index);
     Relay(event->raw);
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -44,8 +44,6 @@
     time_point sent_at{};
     // The first event of a stream or the complete answer was received.
     bool answered = false;
-    // The last byte received of a stream ended a line.
-    bool at_line_start = false;
     bool relaying = false;
     // Position in a stream that cannot be resumed.
     http::event_boundary_scanner events;
@@ -69,7 +67,6 @@
   http::call_options MakeCallOptions(const pooled_endpoint& endpoint) const;
   void StartSilenceTimer();
   void OnSilence();
-  void DetectFirstEvent(std::string_view piece);
 
   bool OnHead(const http::response_head& head) override;
   void OnBody(std::string_view piece) override;
@@ -86,8 +83,8 @@
   // Whether the request must not be sent because it crashes endpoints.
   bool IsBlocked() const;
   void RefuseBlocked();
-  // Records that the attempt's endpoint works on requests with these prompt
-  // parts.
+  // Records, once per attempt, that its endpoint works on requests with these
+  // prompt parts.
   void RecordAnswered();
   void FailCall();
 
--- a/packages/http/include/jasminepath/http/event_boundary_scanner.h
+++ b/packages/http/include/jasminepath/http/event_boundary_scanner.h
@@ -17,11 +17,15 @@
   // Whether the bytes scanned so far end before an event's final blank line.
   bool IsInsideEvent() const { return event_bytes_ > 0; }
 
+  // Whether at least one event has ended.
+  bool HasCompleteEvent() const { return has_complete_event_; }
+
  private:
   // Sizes of the current event and of its current line so far.
   std::size_t event_bytes_ = 0;
   std::size_t line_bytes_ = 0;
   char last_byte_ = '\0';
+  bool has_complete_event_ = false;
 };
 
 }  // namespace jasminepath::http
--- a/packages/http/src/event_boundary_scanner.cc
+++ b/packages/http/src/event_boundary_scanner.cc
@@ -20,6 +20,7 @@
       return true;
     const bool is_blank =
         line_bytes_ == 0 || (line_bytes_ == 1 && last_byte_ == '\r');
+    has_complete_event_ = has_complete_event_ || (is_blank && event_bytes_ > 0);
     event_bytes_ = is_blank ? 0 : event_bytes_ + 1;
     line_bytes_ = 0;
     chunk.remove_prefix(end + 1);
--- a/packages/http/tests/event_boundary_scanner_test.cc
+++ b/packages/http/tests/event_boundary_scanner_test.cc
@@ -29,6 +29,18 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ScannerDetectsTheFirstCompleteEvent) {
+  event_boundary_scanner scanner;
+  for (const char* chunk : {"\n", "data: a", "\r\n", "\r"}) {
+    BOOST_TEST(scanner.Scan(chunk));
+    BOOST_TEST(!scanner.HasCompleteEvent());
+  }
+  BOOST_TEST(scanner.Scan("\n"));
+  BOOST_TEST(scanner.HasCompleteEvent());
+  BOOST_TEST(scanner.Scan("data: b"));
+  BOOST_TEST(scanner.HasCompleteEvent());
+}
+
 BOOST_AUTO_TEST_CASE(ScannerRejectsAnOversizedEvent) {
   event_boundary_scanner scanner;
   const std::string most(kMaxEventBytes, 'x');
