--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -236,16 +236,19 @@
     return Refuse(503, "node_stops", kDefaultRetryAfter);
   if (may_refuse && now - std::max(ready_at, arrived_at_) > kLoadWaitTimeout)
     return Refuse(503, "not_loaded", kDefaultRetryAfter);
+  Enqueue(for_load, for_load
+                        ? "not_loaded"
+                        : (miss == pick_miss::full ? "full" : "no_endpoint"));
+}
+
+void call_session::Enqueue(bool for_load, std::string_view reason) {
   if (queued_ && queued_for_load_ == for_load)
     return;
   queued_ = true;
   queued_for_load_ = for_load;
   context_.queue.Add(*this, priority_, deadline_, request_.model,
                      request_.adapter, for_load);
-  Log("waiting",
-      for_load ? "not_loaded"
-               : (miss == pick_miss::full ? "full" : "no_endpoint"),
-      0);
+  Log("waiting", reason, 0);
 }
 
 // An answer that has begun cannot be refused any more, so it waits until its
@@ -255,13 +258,7 @@
     Log("retry_denied", "budget", 0);
     return FailCall();
   }
-  if (queued_ && !queued_for_load_)
-    return;
-  queued_ = true;
-  queued_for_load_ = false;
-  context_.queue.Add(*this, priority_, deadline_, request_.model,
-                     request_.adapter, false);
-  Log("waiting", "retry_budget", 0);
+  Enqueue(false, "retry_budget");
 }
 
 http::call_options call_session::MakeCallOptions(
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -61,6 +61,9 @@
 
   void Dispatch();
   void WaitForEndpoint(pick_miss miss);
+  // Adds the call to the queue for the given reason unless it already waits in
+  // the same way.
+  void Enqueue(bool for_load, std::string_view reason);
   // Called when the retry budget denies another send.
   void WaitForRetryBudget();
   void Send(std::shared_ptr<pooled_endpoint> endpoint);
