Drop the refusal of answers that have begun

Since begun answers wait for an endpoint until their deadline, Refuse() is only reached before an answer; its branch for begun ones and the log line cannot_continue were dead. RefuseBlocked() alone decides for itself.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -565,7 +565,7 @@
 }
 
 void call_session::RefuseBlocked() {
-  if (may_have_run_)
+  if (may_have_run_ || answer_started_)
     return FailCall();
   Refuse(503, "crashes_endpoints", kBlockedRetryAfter);
 }
@@ -614,11 +614,6 @@
 void call_session::Refuse(int status,
                           std::string_view reason,
                           duration retry_after) {
-  if (answer_started_) {
-    Log("cannot_continue", reason, 0);
-    reply_->Abort();
-    return Finish("cut", 0);
-  }
   reply_->Respond(
       context_.codec.EncodeOwnAnswer(status, request_.id, retry_after), "");
   Log("refused", reason, status);
