--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -386,6 +386,11 @@
   context_.part_suspects.OnAnswered(parts_, boot_clock::now());
 }
 
+void call_session::RecordCrash(const attempt& failed) {
+  context_.part_suspects.OnCrash(parts_, failed.endpoint->entry.id,
+                                 failed.sent_at, boot_clock::now());
+}
+
 void call_session::OnBody(std::string_view piece) {
   if (attempt_->relaying && route_->kind == request_kind::streaming) {
     StartSilenceTimer();
@@ -479,8 +484,7 @@
   const bool has_events = done.fields.sealed && status == 200 &&
                           request_.method != "HEAD" && !last_event_id_;
   if (is_stream && has_events && !done.answered)
-    context_.part_suspects.OnCrash(parts_, done.endpoint->entry.id,
-                                   done.sent_at, boot_clock::now());
+    RecordCrash(done);
   if (!is_stream && IsSuccess(status) && done.fields.sealed)
     RecordAnswered();
   if (!done.fields.sealed && IsSuccess(status)) {
@@ -527,8 +531,7 @@
     if (failure == http::call_failure::broken && !done.head_seen)
       context_.suspects.OnCrash(fingerprint_, boot_clock::now());
     if (failure == http::call_failure::broken && !done.answered)
-      context_.part_suspects.OnCrash(parts_, done.endpoint->entry.id,
-                                     done.sent_at, boot_clock::now());
+      RecordCrash(done);
   }
   EndAttempt(sent ? decision::attempt_end::cut
                   : decision::attempt_end::connect_failed);
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -89,6 +89,8 @@
   // Records, once per attempt, that its endpoint works on requests with these
   // prompt parts.
   void RecordAnswered();
+  // Counts the attempt as a crash of its endpoint against the prompt parts.
+  void RecordCrash(const attempt& failed);
   void FailCall();
 
   void Refuse(int status, std::string_view reason, duration retry_after);
