--- a/review/harness/standins.cc
+++ b/review/harness/standins.cc
@@ -246,12 +246,10 @@
   descriptor_ = -1;
 }
 
-void channel::Reset() {
-  if (descriptor_ < 0)
-    return;
+void channel::Break() {
   const linger option{1, 0};
   ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
-  Close();
+  ::shutdown(descriptor_, SHUT_RDWR);
 }
 
 bool channel::Send(const std::string& bytes) {
@@ -530,9 +528,10 @@
   std::string rows;
   std::size_t count = 0;
   bool more = false;
-  for (const auto& [name, item] : rows_) {
-    if (name.first != table || item.removed || name.second < from ||
-        (!to.empty() && name.second >= to))
+  for (auto at = rows_.lower_bound({table, from});
+       at != rows_.end() && at->first.first == table; ++at) {
+    const auto& [name, item] = *at;
+    if (item.removed || (!to.empty() && name.second >= to))
       continue;
     if (count >= std::min(limit, kMaxPageRows) ||
         rows.size() + item.value.size() > kMaxPageBytes) {
@@ -660,7 +659,27 @@
          "\r\nServer-Seal: seal." + options_.id + "\r\n";
 }
 
+void server::Leave() {
+  listener_->Stop();
+  const std::lock_guard lock(connections_mutex_);
+  left_ = true;
+  for (channel* connection : connections_)
+    connection->Break();
+}
+
 void server::Serve(channel& connection) {
+  {
+    const std::lock_guard lock(connections_mutex_);
+    if (left_)
+      return;
+    connections_.insert(&connection);
+  }
+  ServeRequests(connection);
+  const std::lock_guard lock(connections_mutex_);
+  connections_.erase(&connection);
+}
+
+void server::ServeRequests(channel& connection) {
   message request;
   while (connection.ReadRequest(request)) {
     const std::string expected = request.Header("Expect-Instance");
@@ -759,8 +778,7 @@
       << "contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\","
          "\"recover\",\"fleet\",\"stream\",\"engine\",\"tenants\",\"quota\","
          "\"platform\"]\n[zones]\n"
-      << options_.zone
-      << " = \"mids\"\n[listen]\nfront = " << address(front_)
+      << options_.zone << " = \"mids\"\n[listen]\nfront = " << address(front_)
       << "\nready = " << address(ready_) << "\ncontrol = " << address(control_)
       << "\n[limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\n"
          "maxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n"
--- a/review/harness/standins.h
+++ b/review/harness/standins.h
@@ -64,8 +64,8 @@
   bool IsClosedByPeer() const;
   // Waits, and returns false early if the peer closes the channel.
   bool WaitWhileOpen(int64_t ms) const;
-  // Closes with a reset.
-  void Reset();
+  // Ends both directions; the thread that uses the channel then closes it.
+  void Break();
   void Close();
   bool is_open() const { return descriptor_ >= 0; }
 
@@ -206,7 +206,8 @@
   std::string Entry(const std::string& state = "ready") const;
   const options& chosen() const { return options_; }
   std::string address() const { return listener_->address(); }
-  void StopListening() { listener_->Stop(); }
+  // Ends the server: no new connections, and the open ones are reset.
+  void Leave();
 
   // If set, takes the place of the usual answer to a request of a caller.
   // Returns false to close the connection.
@@ -218,6 +219,7 @@
 
  private:
   void Serve(channel& connection);
+  void ServeRequests(channel& connection);
   std::string Report() const;
 
   options options_;
@@ -225,6 +227,9 @@
   record& log_;
   int64_t born_ = 1764926400000;
   std::atomic<int64_t> orders_{0};
+  std::mutex connections_mutex_;
+  std::set<channel*> connections_;
+  bool left_ = false;
   std::unique_ptr<listener> listener_;
 };
 
