--- a/review/harness/standins.cc
+++ b/review/harness/standins.cc
@@ -27,6 +27,8 @@
 
 constexpr std::size_t kMaxPageRows = 500;
 constexpr std::size_t kMaxPageBytes = 1 << 20;
+// The store's `historyS`.
+constexpr int64_t kHistoryMs = 20000;
 
 bool IsEqual(const std::string& a, const std::string& b) {
   return a.size() == b.size() &&
@@ -247,9 +249,13 @@
 }
 
 void channel::Break() {
+  ::shutdown(descriptor_, SHUT_RDWR);
+}
+
+void channel::Reset() {
   const linger option{1, 0};
   ::setsockopt(descriptor_, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
-  ::shutdown(descriptor_, SHUT_RDWR);
+  Close();
 }
 
 bool channel::Send(const std::string& bytes) {
@@ -479,13 +485,13 @@
                 const std::string& key,
                 const std::string& value) {
   const std::lock_guard lock(mutex_);
-  rows_[{table, key}] = {ToBase64(value), ++counter_, false};
+  rows_[{table, key}] = {ToBase64(value), NextVersion(), false};
   changed_.notify_all();
 }
 
 void store::Remove(const std::string& table, const std::string& key) {
   const std::lock_guard lock(mutex_);
-  rows_[{table, key}] = {"", ++counter_, true};
+  rows_[{table, key}] = {"", NextVersion(), true};
   changed_.notify_all();
 }
 
@@ -508,7 +514,7 @@
   if (path == "/rows-tx")
     return Transact(request.body, status);
   if (path == "/rows-feed")
-    return Feed(query);
+    return Feed(query, status);
   if (path != "/rows-get") {
     status = 404;
     return "{}";
@@ -549,10 +555,27 @@
          R"(,"nowMs":)" + std::to_string(NowMs()) + "}";
 }
 
-std::string store::Feed(const std::map<std::string, std::string>& query) {
+int64_t store::NextVersion() {
+  commits_.emplace_back(NowMs(), ++counter_);
+  return counter_;
+}
+
+int64_t store::HistoryStart() {
+  while (oldest_commit_ < commits_.size() &&
+         commits_[oldest_commit_].first < NowMs() - kHistoryMs)
+    history_start_ = commits_[oldest_commit_++].second;
+  return history_start_;
+}
+
+std::string store::Feed(const std::map<std::string, std::string>& query,
+                        int& status) {
   std::unique_lock lock(mutex_);
   const std::string table = TextAt(query, "table");
   const int64_t after = NumberAt(query, "after", 0);
+  if (after < HistoryStart()) {
+    status = 410;
+    return "{}";
+  }
   const auto until = std::chrono::steady_clock::now() +
                      std::chrono::milliseconds(NumberAt(query, "waitMs", 0));
   while (true) {
@@ -589,7 +612,7 @@
       return R"({"rows":[],"ver":)" + std::to_string(counter_) + "}";
     }
   }
-  ++counter_;
+  NextVersion();
   for (const auto& item : ObjectsAt(body, "writes"))
     rows_[{TextAt(item, "table"), TextAt(item, "key")}] = {
         TextAt(item, "value"), counter_, false};
@@ -709,7 +732,8 @@
                                     .server = options_.id,
                                     .path = target,
                                     .tenant = request.Header("Tenant"),
-                                    .expected_instance = expected});
+                                    .expected_instance = expected,
+                                    .body_bytes = request.body.size()});
     bool complete = false;
     if (answer)
       complete = answer(connection, request);
@@ -778,8 +802,10 @@
       << "contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\","
          "\"recover\",\"fleet\",\"stream\",\"engine\",\"tenants\",\"quota\","
          "\"platform\"]\n[zones]\n"
-      << options_.zone << " = \"mids\"\n[listen]\nfront = " << address(front_)
-      << "\nready = " << address(ready_) << "\ncontrol = " << address(control_)
+      << "mids-a = \"mids\"\nmids-b = \"mids\"\nmids-c = "
+         "\"mids\"\n[listen]\nfront = "
+      << address(front_) << "\nready = " << address(ready_)
+      << "\ncontrol = " << address(control_)
       << "\n[limits]\ncpuShare = 0.25\ncores = 1\nmemoryMb = 260\n"
          "maxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n"
          "[faultTolerance]\nmachines = 1\nzones = 0\nregions = 0\n"
@@ -846,6 +872,17 @@
     SleepMs(5);
 }
 
+bool node::ReadsServers() const {
+  std::ifstream log(options_.folder + "/" + options_.name + ".log");
+  std::string line;
+  bool reads = false;
+  while (std::getline(log, line)) {
+    if (line.find("event=duties ") != std::string::npos)
+      reads = line.find(" reads_endpoints=1") != std::string::npos;
+  }
+  return reads;
+}
+
 bool node::IsReady() const {
   const auto probe = Connect(options_.ip, ready_);
   return probe && probe->Send("GET /readyz HTTP/1.1\r\nHost: probe\r\n\r\n") &&
--- a/review/harness/standins.h
+++ b/review/harness/standins.h
@@ -66,6 +66,8 @@
   bool WaitWhileOpen(int64_t ms) const;
   // Ends both directions; the thread that uses the channel then closes it.
   void Break();
+  // Closes with a reset; called by the thread that uses the channel.
+  void Reset();
   void Close();
   bool is_open() const { return descriptor_ >= 0; }
 
@@ -144,14 +146,23 @@
   void Serve(channel& connection);
   std::string Answer(const message& request, int& status);
   std::string Get(const std::map<std::string, std::string>& query);
-  std::string Feed(const std::map<std::string, std::string>& query);
+  std::string Feed(const std::map<std::string, std::string>& query,
+                   int& status);
   std::string Transact(const std::string& body, int& status);
 
   record& log_;
   std::mutex mutex_;
   std::condition_variable changed_;
   std::map<std::pair<std::string, std::string>, row> rows_;
+  // Raises the counter for a transaction and records when.
+  int64_t NextVersion();
+  // The oldest version that a feed can begin at.
+  int64_t HistoryStart();
+
   int64_t counter_ = 1;
+  std::vector<std::pair<int64_t, int64_t>> commits_;
+  std::size_t oldest_commit_ = 0;
+  int64_t history_start_ = 0;
   std::unique_ptr<listener> listener_;
 };
 
@@ -162,6 +173,8 @@
   std::string path;
   std::string tenant;
   std::string expected_instance;
+  // Size of the request's body.
+  std::size_t body_bytes = 0;
   int64_t began_ms = 0;
   int64_t ended_ms = 0;
   // The whole answer was sent; false while it runs, and if the caller closed.
@@ -253,6 +266,9 @@
   // Waits for the end of the process; kills it after `ms`.
   void WaitForEnd(int64_t ms);
   bool IsReady() const;
+  // Whether the node says in its log that it reads the table of servers for
+  // its zone. Chooses what a script harms; nothing is judged by it.
+  bool ReadsServers() const;
   bool WaitUntilReady(int64_t ms) const;
   const std::string& ip() const { return options_.ip; }
   uint16_t front() const { return front_; }
