Review: give the scripts' nodes ports that nothing else takes

Cause: ports were picked from the kernel's own range and without regard to each other, so that two nodes of a script could draw the same ones (not seen).

--- a/review/harness/standins.cc
+++ b/review/harness/standins.cc
@@ -176,17 +176,17 @@
          "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
-uint16_t FreePort(const std::string& ip) {
-  uint16_t port = 0;
-  ::close(Listen(ip, port));
-  return port;
-}
-
-// The first of `count` ports that are free for TCP.
-uint16_t FreeRange(const std::string& ip, int count) {
-  std::random_device device;
-  for (int attempt = 0; attempt < 200; ++attempt) {
-    const auto first = static_cast<uint16_t>(20000 + device() % 10000);
+// The first of `count` ports that are free for TCP. Never returns a port twice,
+// and none from the range in which the kernel picks ports for connections.
+uint16_t FreePorts(const std::string& ip, int count) {
+  constexpr int kFirst = 15000;
+  constexpr int kLast = 32000;
+  static int next =
+      kFirst + static_cast<int>(std::random_device{}() % (kLast - kFirst));
+  for (int attempt = 0; attempt < kLast - kFirst; ++attempt) {
+    if (next + count > kLast)
+      next = kFirst;
+    const int first = next;
     bool free = true;
     for (int i = 0; i < count && free; ++i) {
       const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
@@ -196,8 +196,9 @@
                     sizeof(address)) == 0;
       ::close(descriptor);
     }
+    next = free ? first + count : first + 1;
     if (free)
-      return first;
+      return static_cast<uint16_t>(first);
   }
   throw std::runtime_error("no free ports");
 }
@@ -774,10 +775,10 @@
 }
 
 node::node(options chosen) : options_(std::move(chosen)) {
-  front_ = FreePort(options_.ip);
-  ready_ = FreePort(options_.ip);
-  control_ = FreePort(options_.ip);
-  first_free_ = FreeRange(options_.ip, 16);
+  front_ = FreePorts(options_.ip, 1);
+  ready_ = FreePorts(options_.ip, 1);
+  control_ = FreePorts(options_.ip, 1);
+  first_free_ = FreePorts(options_.ip, 16);
 }
 
 node::~node() {
