--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -23,8 +23,10 @@
 constexpr int64_t kSlackMs = 500;
 constexpr int64_t kBudgetMs = 4000;
 constexpr int kShopClients = 24;
-constexpr int kReaders = 60;
-constexpr int kEndlessAnswers = 5;
+constexpr int kReaders = 120;
+// One in so many answers is spoiled, for so long.
+constexpr int kAnswersPerEndless = 20;
+constexpr int64_t kSpoilMs = 5000;
 constexpr int64_t kCalmMs = 12000;
 constexpr int64_t kTroubleMs = 15000;
 
@@ -73,13 +75,15 @@
 
 }  // namespace
 
-int main() {
+// `argv[1]` is the path of record.txt.
+int main(int argc, char** argv) {
   const bool trouble = HasTrouble();
-  record log("review/1/record.txt");
+  record log(argc > 1 ? argv[1] : "review/1/record.txt");
   temporary_folder folder;
   store platform(log);
   run_list runs;
-  std::atomic<int> endless_left{0};
+  std::atomic<int64_t> spoils_until{-1};
+  std::atomic<int> answers_in_trouble{0};
   std::atomic<int> endless_sent{0};
   std::vector<std::unique_ptr<server>> servers;
   for (const std::string name : {"i-a1", "i-a2", "i-a3"}) {
@@ -96,7 +100,8 @@
       server* spoiling = servers.back().get();
       spoiling->answer = [&, spoiling](channel& connection,
                                        const message& request) {
-        if (endless_left <= 0 || endless_left-- <= 0)
+        if (NowMs() >= spoils_until ||
+            ++answers_in_trouble % kAnswersPerEndless != 0)
           return spoiling->AnswerStream(connection, request);
         ++endless_sent;
         log.Write("endless answer to " + request.Header("Attempt-Id"));
@@ -213,7 +218,7 @@
   const int64_t trouble_at = NowMs();
   log.Write("the trouble begins");
   if (trouble)
-    endless_left = kEndlessAnswers;
+    spoils_until = NowMs() + kSpoilMs;
   SleepMs(kTroubleMs);
   over = true;
   for (std::thread& client : clients)
@@ -242,23 +247,19 @@
                : is_late    ? ", unanswered at timeoutMs"
                             : ""));
   }
-  std::size_t patterns = 0;
-  for (const run& item : runs.All())
-    patterns += item.server == "i-a1" ? 1 : 0;
-  // CONFIG, in both of its forms: more than half of those unanswered at
-  // timeoutMs, and eight or more, have no answer half a second later.
-  const bool broken = very_late >= 8 && 2 * very_late > late;
+  // CONFIG as RULES.md has it under "Config": eight or more of the requests
+  // that last longer than timeoutMs, and over a quarter of them.
+  const bool broken = very_late >= 8 && 4 * very_late > late;
   const std::string summary =
       std::to_string(shop_requests.size()) + " shop requests (" +
       std::to_string(in_trouble) + " since the trouble began), " +
       std::to_string(late) + " unanswered at timeoutMs, " +
       std::to_string(very_late) + " of them 0.5 s later; " +
       std::to_string(endless_sent) + " endless answers of " +
-      std::to_string(patterns) + " of their server: CONFIG " +
+      std::to_string(answers_in_trouble) + " of their server in 5 s: CONFIG " +
       (broken ? "broken" : "held");
   log.Write(summary);
   std::cout << summary << std::endl;
-  const bool ran = !times.empty() && patterns >= 20 * kEndlessAnswers &&
-                   (!trouble || endless_sent > 0);
+  const bool ran = !times.empty() && (!trouble || endless_sent > 0);
   EndScript(nodes, folder, !ran ? 2 : broken ? 1 : 0);
 }
