--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -58,9 +58,10 @@
 
 }  // namespace
 
-int main() {
+// `argv[1]` is the path of record.txt.
+int main(int argc, char** argv) {
   const bool trouble = HasTrouble();
-  record log("review/5/record.txt");
+  record log(argc > 1 ? argv[1] : "review/5/record.txt");
   temporary_folder folder;
   store platform(log);
   run_list runs;
@@ -175,7 +176,7 @@
   platform.Remove("servers", leaving.chosen().id);
   const int64_t removed_at = NowMs();
   log.Write("the row of " + leaving.chosen().id + " is removed");
-  SleepMs(3000);
+  SleepMs(1400);
   if (trouble) {
     for (const auto& item : nodes) {
       if (is_killed(item->name()))
