Log each answer that a node cuts, with its cause

A call that the exit ended left no line at all, and one that was cut at the end of the grace looked like one that had reached its time limit. Cause: only the paths that answer or refuse logged their reason. Change: event=call_cut says whether the time limit, the planned stop, the exit or the last attempt ended the answer, when the request came relative to the stop signal, and whether it was the first on its connection; that tells the hypotheses apart.

--- a/packages/gateway/src/call_context.h
+++ b/packages/gateway/src/call_context.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "call_registry.h"
 #include "crash_suspects.h"
 #include "endpoint_pool.h"
 #include "gateway_metrics.h"
@@ -13,6 +14,7 @@
 #include "jasminepath/gateway/ports.h"
 #include "jasminepath/report/event_log.h"
 #include "prompt_part_suspects.h"
+#include "stop_schedule.h"
 #include "wait_queue.h"
 
 namespace jasminepath::gateway {
@@ -42,13 +44,13 @@
   fleet_rate_limiter& limiter;
   retry_budgets& retries;
   wait_queue& queue;
+  call_registry& calls;
   crash_suspects& suspects;
   prompt_part_suspects& part_suspects;
   gateway_metrics& metrics;
   // The active configuration; null until the first one has been read.
   site_pointer site;
-  // Time by which all calls must be answered because the process exits.
-  time_point ends_at = time_point::max();
+  stop_schedule stop;
 };
 
 }  // namespace jasminepath::gateway
--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -76,6 +76,7 @@
 void call_session::Start() {
   keep_alive_ = shared_from_this();
   const auto keep = keep_alive_;
+  context_.calls.Add(*this);
   arrived_at_ = reply_->received_at();
   if (!site_)
     return Refuse(503, "no_configuration", kNoConfigurationRetryAfter);
@@ -232,7 +233,7 @@
                   std::max<duration>(ready_at - now, kDefaultRetryAfter));
   // This node exits before the load completes; another node may serve the
   // request.
-  if (may_refuse && ready_at > context_.ends_at - kMinTimeToSend)
+  if (may_refuse && ready_at > context_.stop.ends_at - kMinTimeToSend)
     return Refuse(503, "node_stops", kDefaultRetryAfter);
   if (may_refuse && now - std::max(ready_at, arrived_at_) > kLoadWaitTimeout)
     return Refuse(503, "not_loaded", kDefaultRetryAfter);
@@ -299,6 +300,7 @@
   context_.endpoints.Begin(*endpoint, NeededModel());
   attempt_ = attempt();
   attempt_->endpoint = std::move(endpoint);
+  last_endpoint_ = attempt_->endpoint->entry.id;
   attempt_->sent_at = boot_clock::now();
   const http::call_options options = MakeCallOptions(*attempt_->endpoint);
   Log("sent", attempt_->endpoint->entry.id.value(), 0);
@@ -556,6 +558,7 @@
 
 void call_session::RetryOrFail(const std::string& reason) {
   Log("attempt_failed", reason, 0);
+  last_failure_ = reason;
   if (!CanRetry())
     return FailCall();
   Dispatch();
@@ -575,10 +578,8 @@
 
 // Ends the call with the most specific failure that is certain.
 void call_session::FailCall() {
-  if (answer_started_) {
-    reply_->Abort();
-    return Finish("cut", 0);
-  }
+  if (answer_started_)
+    return Cut(last_failure_);
   if (!may_have_run_)
     return Refuse(503, "not_run", kDefaultRetryAfter);
   if (endpoint_failure_) {
@@ -589,6 +590,12 @@
   RespondWithError(502, "endpoint_lost");
 }
 
+void call_session::Cut(std::string_view cause) {
+  LogCut(cause);
+  reply_->Abort();
+  Finish("cut", 0);
+}
+
 void call_session::OnDeadline() {
   const auto keep = shared_from_this();
   if (attempt_) {
@@ -596,10 +603,8 @@
     may_have_run_ = true;
     EndAttempt(decision::attempt_end::cancelled);
   }
-  if (answer_started_) {
-    reply_->Abort();
-    return Finish("timed_out", 0);
-  }
+  if (answer_started_)
+    return Cut(deadline_ <= context_.stop.ends_at ? "deadline" : "node_stops");
   if (!may_have_run_)
     return Refuse(503, "timed_out_waiting", kDefaultRetryAfter);
   RespondWithError(504, "timed_out");
@@ -644,11 +649,28 @@
   context_.metrics.RecordEnd(outcome, boot_clock::now() - arrived_at_);
   if (outcome != "refused" && outcome != "failed")
     Log(outcome, "", status);
+  context_.calls.Remove(*this);
   keep_alive_.reset();
 }
 
 duration call_session::TimeLeft() const {
-  return std::min(deadline_, context_.ends_at) - boot_clock::now();
+  return std::min(deadline_, context_.stop.ends_at) - boot_clock::now();
+}
+
+void call_session::LogCut(std::string_view cause) const {
+  const bool is_stopping = context_.stop != stop_schedule{};
+  context_.log.Write(
+      report::log_level::warning, "call_cut",
+      {{"request", request_.id.value()},
+       {"cause", cause},
+       {"route", route_ != nullptr ? route_->name : std::string()},
+       {"endpoint", last_endpoint_.value()},
+       {"answer_began", static_cast<int64_t>(answer_started_)},
+       {"connection_position", reply_->connection_position()},
+       {"stopping", static_cast<int64_t>(is_stopping)},
+       {"arrived_after_stop_ms",
+        is_stopping ? ToMilliseconds(arrived_at_ - context_.stop.began_at) : 0},
+       {"age_ms", ToMilliseconds(boot_clock::now() - arrived_at_)}});
 }
 
 void call_session::Log(std::string_view outcome,
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -33,6 +34,9 @@
   // Retries the endpoint selection of a queued call after a change of state.
   void Wake();
 
+  // Logs that the caller gets no complete answer, and why.
+  void LogCut(std::string_view cause) const;
+
  private:
   // State of the attempt in progress.
   struct attempt {
@@ -92,6 +96,8 @@
   // Counts the attempt as a crash of its endpoint against the prompt parts.
   void RecordCrash(const attempt& failed);
   void FailCall();
+  // Closes the connection of an answer that has begun but cannot be completed.
+  void Cut(std::string_view cause);
 
   void Refuse(int status, std::string_view reason, duration retry_after);
   void RespondWithError(int status, std::string_view reason);
@@ -145,6 +151,9 @@
   bool queued_ = false;
   bool queued_for_load_ = false;
   bool ended_ = false;
+  // Endpoint of the last attempt, and why it failed, for the log.
+  endpoint_id last_endpoint_;
+  std::string last_failure_;
   // Error answer of an endpoint. It is relayed if all attempts fail.
   std::optional<http::response> endpoint_failure_;
   std::shared_ptr<call_session> keep_alive_;
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -84,9 +84,9 @@
       retries_(settings.bounds.retry_share, settings.bounds.retry_reserve),
       suspects_(settings.node),
       part_suspects_(settings.node),
-      context_{loop_,          codec_,   log_,   endpoints_,
-               limiter_,       retries_, queue_, suspects_,
-               part_suspects_, metrics_, nullptr},
+      context_{loop_,    codec_,  log_,   endpoints_, limiter_,
+               retries_, queue_,  calls_, suspects_,  part_suspects_,
+               metrics_, nullptr, {}},
       store_(loop_, store, codec_, log_),
       site_rows_(loop_,
                  store_,
@@ -181,6 +181,8 @@
   Tick();
   ScheduleDigest();
   loop_.run();
+  for (const auto& call : calls_.Calls())
+    call->LogCut("exit");
   log_.Write(
       report::log_level::info, "stopped",
       {{"node", settings_.node.value()},
@@ -631,8 +633,9 @@
   stop_began_ = boot_clock::now();
   log_.Write(report::log_level::info, "stopping",
              {{"busy", static_cast<int64_t>(caller_server_.busy_count())}});
-  context_.ends_at =
-      stop_began_ + settings_.bounds.grace - kExitMargin - kAnswerFlushTime;
+  context_.stop = {
+      stop_began_, stop_began_ + settings_.lame_duck,
+      stop_began_ + settings_.bounds.grace - kExitMargin - kAnswerFlushTime};
   order_dispatcher_.BeginStop(stop_began_);
   caller_server_.BeginDrain();
   SendDigest();
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -85,6 +85,7 @@
   fleet_rate_limiter limiter_;
   retry_budgets retries_;
   wait_queue queue_;
+  call_registry calls_;
   crash_suspects suspects_;
   prompt_part_suspects part_suspects_;
   call_context context_;
--- a/packages/http/include/jasminepath/http/server.h
+++ b/packages/http/include/jasminepath/http/server.h
@@ -2,6 +2,7 @@
 #define JASMINEPATH_HTTP_SERVER_H_
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -36,6 +37,8 @@
 
   // Time at which the first byte of the request was read.
   virtual time_point received_at() const = 0;
+  // Position of the request on its connection; that of the first one is 1.
+  virtual int64_t connection_position() const = 0;
   // Sets a callback that runs once if the client closes its connection before
   // the answer ends.
   virtual void OnClientDisconnect(std::function<void()> callback) = 0;
--- a/packages/http/src/server_connection.cc
+++ b/packages/http/src/server_connection.cc
@@ -195,9 +195,9 @@
                          std::string(field.value()));
   received.body = std::move(message.body());
   const bool is_head_request = received.method == "HEAD";
-  shared_->handler(std::move(received),
-                   std::make_shared<server_exchange>(
-                       weak_from_this(), request_began_, is_head_request));
+  shared_->handler(std::move(received), std::make_shared<server_exchange>(
+                                            weak_from_this(), request_began_,
+                                            ++requests_, is_head_request));
 }
 
 void server_connection::Reject(int status) {
--- a/packages/http/src/server_connection.h
+++ b/packages/http/src/server_connection.h
@@ -4,6 +4,7 @@
 #include <array>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -79,6 +80,8 @@
   bool reading_ = false;
   bool head_seen_ = false;
   time_point request_began_{};
+  // Number of complete requests received.
+  int64_t requests_ = 0;
   // Time since which the connection has waited for a request.
   time_point idle_since_{};
   bool busy_ = false;
--- a/packages/http/src/server_exchange.cc
+++ b/packages/http/src/server_exchange.cc
@@ -24,9 +24,11 @@
 
 server_exchange::server_exchange(std::weak_ptr<server_connection> connection,
                                  time_point received_at,
+                                 int64_t connection_position,
                                  bool is_head_request)
     : connection_(std::move(connection)),
       received_at_(received_at),
+      connection_position_(connection_position),
       is_head_request_(is_head_request) {}
 
 server_exchange::~server_exchange() {
