--- a/cmake/jasminepath_package.cmake
+++ b/cmake/jasminepath_package.cmake
@@ -5,7 +5,8 @@
 # Builds the sources src/**/*.cc into a static library; its public headers are
 # include/jasminepath/NAME/**/*.h. Builds tests/**/*.cc into one Boost.Test program, NAME_test, and
 # registers it with CTest. DEPENDS lists packages. LIBRARIES lists targets of external libraries that
-# only the sources and tests use, TEST_LIBRARIES those that only the tests use.
+# only the sources and tests use, TEST_LIBRARIES those that only the tests use. Test cases that
+# KNOWN-RED.txt lists as "test: NAME_test/CASE" are left out.
 function(jasminepath_warnings target)
   target_compile_options(${target} PRIVATE -Wall -Wextra -Wpedantic -Wshadow -Wnon-virtual-dtor
                          -Werror)
@@ -22,6 +23,10 @@
   endif()
 endfunction()
 
+# A changed list of known failing tests has to be configured anew.
+set_property(DIRECTORY ${CMAKE_SOURCE_DIR} APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS
+             ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt)
+
 function(jasminepath_package)
   cmake_parse_arguments(ARG "" "NAME" "DEPENDS;LIBRARIES;TEST_LIBRARIES" ${ARGN})
   set(library jasminepath_${ARG_NAME})
@@ -53,7 +58,10 @@
     target_link_libraries(${ARG_NAME}_test PRIVATE ${library} Boost::unit_test_framework
                           rapidcheck ${ARG_LIBRARIES} ${ARG_TEST_LIBRARIES})
     jasminepath_warnings(${ARG_NAME}_test)
-    add_test(NAME ${ARG_NAME}_test COMMAND ${ARG_NAME}_test)
+    # scripts/ci_known_red.sh runs the cases that are excluded here.
+    file(STRINGS ${CMAKE_SOURCE_DIR}/KNOWN-RED.txt known_red REGEX "^test: ${ARG_NAME}_test/")
+    list(TRANSFORM known_red REPLACE "^test: ${ARG_NAME}_test/" "--run_test=!")
+    add_test(NAME ${ARG_NAME}_test COMMAND ${ARG_NAME}_test ${known_red})
     set_tests_properties(${ARG_NAME}_test PROPERTIES ENVIRONMENT
                          "RC_PARAMS=seed=20261204" TIMEOUT 600)
   endif()
