Refuse calls that a stopping node cannot complete

Seen by callers: a stream on a connection that they had kept was accepted up to 6.6 s after the stop signal, ran at an endpoint, and was cut when the node ended (LOST); an order there ran and got a 504, which nobody may repeat. Cause: whether a connection stays open is fixed when an answer begins. A stream that began before the stop leaves its connection open for one more request, and the node sent that to an endpoint with whatever time was left. Change: a call that has not run is refused as not run, with a short Retry-After, if the node may end before it. A call that arrived while the load balancer might still choose the node needs the usual time of its route's answers (mean and deviation as of TCP's round-trip times); a later one is sent only if its own time limit ends before the node does.

--- a/packages/gateway/src/call_context.h
+++ b/packages/gateway/src/call_context.h
@@ -14,7 +14,7 @@
 #include "jasminepath/gateway/ports.h"
 #include "jasminepath/report/event_log.h"
 #include "prompt_part_suspects.h"
-#include "stop_schedule.h"
+#include "stop_admission.h"
 #include "wait_queue.h"
 
 namespace jasminepath::gateway {
@@ -50,7 +50,7 @@
   gateway_metrics& metrics;
   // The active configuration; null until the first one has been read.
   site_pointer site;
-  stop_schedule stop;
+  stop_admission stop;
 };
 
 }  // namespace jasminepath::gateway
--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -41,6 +41,8 @@
 // Values of Retry-After where nothing more precise is known.
 constexpr duration kDefaultRetryAfter = Milliseconds(300);
 constexpr duration kNoConfigurationRetryAfter = Milliseconds(500);
+// The caller's next attempt goes to another node, which may serve it at once.
+constexpr duration kOtherNodeRetryAfter = Milliseconds(20);
 constexpr duration kBlockedRetryAfter = Seconds(30);
 // Lowest priority that engines accept.
 constexpr int64_t kLowestPriority = 9;
@@ -205,6 +207,8 @@
     return FailCall();
   if (IsBlocked())
     return RefuseBlocked();
+  if (!CanCompleteFrom(boot_clock::now()))
+    return Refuse(503, "node_stops", kOtherNodeRetryAfter);
   const auto choice = context_.endpoints.Pick(MakeQuery(), boot_clock::now());
   if (!choice.endpoint)
     return WaitForEndpoint(choice.miss);
@@ -220,6 +224,11 @@
   Send(choice.endpoint);
 }
 
+bool call_session::CanCompleteFrom(time_point start) const {
+  return may_have_run_ || answer_started_ ||
+         context_.stop.CanComplete(route_->name, arrived_at_, deadline_, start);
+}
+
 void call_session::WaitForEndpoint(pick_miss miss) {
   const time_point now = boot_clock::now();
   const bool for_load = miss == pick_miss::not_loaded;
@@ -231,10 +240,8 @@
   if (may_refuse && ready_at > deadline_ - kMinTimeToSend)
     return Refuse(503, "load_too_late",
                   std::max<duration>(ready_at - now, kDefaultRetryAfter));
-  // This node exits before the load completes; another node may serve the
-  // request.
-  if (may_refuse && ready_at > context_.stop.ends_at - kMinTimeToSend)
-    return Refuse(503, "node_stops", kDefaultRetryAfter);
+  if (may_refuse && !CanCompleteFrom(std::max(now, ready_at)))
+    return Refuse(503, "node_stops", kOtherNodeRetryAfter);
   if (may_refuse && now - std::max(ready_at, arrived_at_) > kLoadWaitTimeout)
     return Refuse(503, "not_loaded", kDefaultRetryAfter);
   Enqueue(for_load, for_load
@@ -294,6 +301,8 @@
   fields.last_event_id = last_event_id_;
   if (sends_ == 0)
     context_.retries.For(service_).OnFirstAttempt();
+  if (tries_ == 0)
+    first_sent_at_ = boot_clock::now();
   ++sends_;
   ++tries_;
   context_.metrics.CountAttempt();
@@ -513,6 +522,9 @@
   }
   EndAttempt(decision::attempt_end::answered);
   context_.suspects.OnAnswered(fingerprint_);
+  if (IsSuccess(status))
+    context_.stop.RecordAnswer(route_->name,
+                               boot_clock::now() - first_sent_at_);
   if (answer_started_) {
     reply_->Finish();
   } else {
@@ -604,7 +616,8 @@
     EndAttempt(decision::attempt_end::cancelled);
   }
   if (answer_started_)
-    return Cut(deadline_ <= context_.stop.ends_at ? "deadline" : "node_stops");
+    return Cut(deadline_ <= context_.stop.schedule().ends_at ? "deadline"
+                                                             : "node_stops");
   if (!may_have_run_)
     return Refuse(503, "timed_out_waiting", kDefaultRetryAfter);
   RespondWithError(504, "timed_out");
@@ -654,11 +667,12 @@
 }
 
 duration call_session::TimeLeft() const {
-  return std::min(deadline_, context_.stop.ends_at) - boot_clock::now();
+  return std::min(deadline_, context_.stop.schedule().ends_at) -
+         boot_clock::now();
 }
 
 void call_session::LogCut(std::string_view cause) const {
-  const bool is_stopping = context_.stop != stop_schedule{};
+  const bool is_stopping = context_.stop.is_stopping();
   context_.log.Write(
       report::log_level::warning, "call_cut",
       {{"request", request_.id.value()},
@@ -669,7 +683,9 @@
        {"connection_position", reply_->connection_position()},
        {"stopping", static_cast<int64_t>(is_stopping)},
        {"arrived_after_stop_ms",
-        is_stopping ? ToMilliseconds(arrived_at_ - context_.stop.began_at) : 0},
+        is_stopping
+            ? ToMilliseconds(arrived_at_ - context_.stop.schedule().began_at)
+            : 0},
        {"age_ms", ToMilliseconds(boot_clock::now() - arrived_at_)}});
 }
 
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -64,6 +64,9 @@
   void RecordPause();
 
   void Dispatch();
+  // Whether an attempt that begins at `start` can end before the node exits.
+  // Calls that may have run are never refused.
+  bool CanCompleteFrom(time_point start) const;
   void WaitForEndpoint(pick_miss miss);
   // Adds the call to the queue for the given reason unless it already waits in
   // the same way.
@@ -124,6 +127,7 @@
   int64_t shared_tokens_ = 0;
   time_point arrived_at_{};
   time_point deadline_{};
+  time_point first_sent_at_{};
   http::timer deadline_timer_;
   http::timer silence_timer_;
   std::unique_ptr<http::call> call_;
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -299,6 +299,7 @@
   limiter_.SetNodeCount(peers_known_ ? peers_.node_count() : kAssumedNodeCount);
   limiter_.SetTeams(next->teams(), boot_clock::now());
   order_dispatcher_.SetSite(*next);
+  context_.stop.SetRoutes(next->routes());
   queue_.WakeAll();
 }
 
@@ -633,9 +634,9 @@
   stop_began_ = boot_clock::now();
   log_.Write(report::log_level::info, "stopping",
              {{"busy", static_cast<int64_t>(caller_server_.busy_count())}});
-  context_.stop = {
-      stop_began_, stop_began_ + settings_.lame_duck,
-      stop_began_ + settings_.bounds.grace - kExitMargin - kAnswerFlushTime};
+  context_.stop.Begin(
+      {stop_began_, stop_began_ + settings_.lame_duck,
+       stop_began_ + settings_.bounds.grace - kExitMargin - kAnswerFlushTime});
   order_dispatcher_.BeginStop(stop_began_);
   caller_server_.BeginDrain();
   SendDigest();
--- /dev/null
+++ b/packages/gateway/src/stop_admission.h
@@ -0,0 +1,45 @@
+#ifndef JASMINEPATH_GATEWAY_SRC_STOP_ADMISSION_H_
+#define JASMINEPATH_GATEWAY_SRC_STOP_ADMISSION_H_
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "jasminepath/decision/admission/answer_time_estimate.h"
+#include "jasminepath/gateway/site.h"
+#include "stop_schedule.h"
+
+namespace jasminepath::gateway {
+
+// Decides which calls a stopping node still sends to endpoints. A connection
+// can outlive the start of the stop, because the head of an answer that began
+// earlier allowed its caller to keep it.
+class stop_admission {
+ public:
+  // Records how long the endpoints took for an answer on the route.
+  void RecordAnswer(const std::string& route, duration time);
+  // Forgets routes that no longer exist.
+  void SetRoutes(const std::vector<route>& routes);
+
+  // Starts the stop.
+  void Begin(const stop_schedule& schedule) { schedule_ = schedule; }
+  const stop_schedule& schedule() const { return schedule_; }
+  bool is_stopping() const { return schedule_ != stop_schedule{}; }
+
+  // Whether a call that is sent to an endpoint at `now` can be completed before
+  // the process exits. A call that arrived while the load balancer might still
+  // choose this node needs the usual time of its route's answers; a later one
+  // must be certain to end.
+  bool CanComplete(const std::string& route,
+                   time_point arrived_at,
+                   time_point deadline,
+                   time_point now) const;
+
+ private:
+  stop_schedule schedule_;
+  std::map<std::string, decision::answer_time_estimate> answer_times_;
+};
+
+}  // namespace jasminepath::gateway
+
+#endif  // JASMINEPATH_GATEWAY_SRC_STOP_ADMISSION_H_
