Answer calls from before the stop before the node exits

Seen by callers: an order that was accepted before the stop signal got no answer; its connection closed when the process ended, 7.3 s after the signal, and no log line named it. Cause: the deadline timer was started with the time that was left when the call arrived; the stop shortens that time, but running calls kept their timers. A begun stream was cut by the exit instead of 0.2 s earlier. Change: the stop starts the timers of all open calls anew, so that a call that has not begun its answer gets its 504 or, if it has not run, its 503, with time left for the answer to arrive.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -108,7 +108,7 @@
   }
   last_event_id_ = request_.last_event_id;
   reply_->OnClientDisconnect([this] { OnCallerDisconnect(); });
-  deadline_timer_.Start(TimeLeft() - kAnswerMargin, [this] { OnDeadline(); });
+  StartDeadlineTimer();
   Dispatch();
 }
 
@@ -202,6 +202,11 @@
     Dispatch();
 }
 
+void call_session::OnNodeStop() {
+  if (!ended_)
+    StartDeadlineTimer();
+}
+
 void call_session::Dispatch() {
   if (TimeLeft() < kMinTimeToSend + kAnswerMargin)
     return FailCall();
@@ -608,6 +613,10 @@
   Finish("cut", 0);
 }
 
+void call_session::StartDeadlineTimer() {
+  deadline_timer_.Start(TimeLeft() - kAnswerMargin, [this] { OnDeadline(); });
+}
+
 void call_session::OnDeadline() {
   const auto keep = shared_from_this();
   if (attempt_) {
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -34,6 +34,9 @@
   // Retries the endpoint selection of a queued call after a change of state.
   void Wake();
 
+  // Ends the call in time if the node stops before the call's time limit.
+  void OnNodeStop();
+
   // Logs that the caller gets no complete answer, and why.
   void LogCut(std::string_view cause) const;
 
@@ -106,6 +109,7 @@
   void RespondWithError(int status, std::string_view reason);
   void Finish(std::string_view outcome, int status);
   void OnCallerDisconnect();
+  void StartDeadlineTimer();
   void OnDeadline();
   duration TimeLeft() const;
   void Log(std::string_view outcome, std::string_view reason, int status);
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -639,6 +639,8 @@
        stop_began_ + settings_.bounds.grace - kExitMargin - kAnswerFlushTime});
   order_dispatcher_.BeginStop(stop_began_);
   caller_server_.BeginDrain();
+  for (const auto& call : calls_.Calls())
+    call->OnNodeStop();
   SendDigest();
   queue_.WakeAll();
   ContinueStop();
