A rejection reaches a client that is still sending

Callers saw a reset connection, and neither an answer nor a refusal, when a node rejected a request (413, 408, 400) before all of it had arrived.

Cause: after the rejection the next input made OnRead() close the socket at once. That is meant for requests that cross an orderly close, but here the input is the rest of the rejected request, and closing with unread input resets the connection and discards the rejection.

The rest of a rejected request is now discarded for the time that a client has to read its last answer (one second), as Shutdown() intended.

Evidence: by a test only, ARejectionReachesAClientThatIsStillSending, which failed with a broken pipe at the client.

--- a/packages/http/src/server_connection.cc
+++ b/packages/http/src/server_connection.cc
@@ -108,8 +108,9 @@
 
 void server_connection::OnRead(std::size_t length) {
   // A request that arrives while the connection is being closed cannot be
-  // answered; closing at once lets the client know without delay.
-  if (closing_ && sending_.empty() && unsent_.empty())
+  // answered; closing at once lets the client know without delay. The rest of a
+  // rejected request is discarded until the client has read the rejection.
+  if (closing_ && !rejected_ && sending_.empty() && unsent_.empty())
     return Close();
   if (!closing_)
     input_.append(chunk_.data(), length);
@@ -208,7 +209,7 @@
   head.append(ReasonPhrase(status));
   head.append("\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
   Send(std::move(head));
-  closing_ = true;
+  closing_ = rejected_ = true;
   Shutdown();
 }
 
--- a/packages/http/src/server_connection.h
+++ b/packages/http/src/server_connection.h
@@ -84,6 +84,8 @@
   bool busy_ = false;
   bool close_after_answer_ = false;
   bool closing_ = false;
+  // The request was rejected, possibly before all of it had arrived.
+  bool rejected_ = false;
   // Close the idle connection as soon as its last answer has been sent.
   bool close_when_sent_ = false;
   bool closed_ = false;
--- a/packages/http/tests/server_test.cc
+++ b/packages/http/tests/server_test.cc
@@ -225,6 +225,28 @@
   BOOST_TEST(subject.connection_count() == 1);
 }
 
+// Resetting the connection would discard the rejection at a client that is
+// still sending.
+BOOST_FIXTURE_TEST_CASE(ARejectionReachesAClientThatIsStillSending,
+                        server_fixture) {
+  server_limits limits;
+  limits.max_body_bytes = 1000;
+  subject.SetLimits(limits);
+  raw_client client(*this, subject.port());
+  const std::string piece(20000, 'b');
+  client.Send("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n");
+  client.ReadUntil("HTTP/1.1 413 ");
+  for (int i = 0; i < 5; ++i) {
+    client.Send(piece);
+    loop.restart();
+    loop.poll();
+  }
+  BOOST_TEST(!client.WasReset());
+  BOOST_TEST(subject.connection_count() == 1);
+  client.Close();
+  RunUntil([&] { return subject.connection_count() == 0; });
+}
+
 BOOST_AUTO_TEST_CASE(ParsesAddresses) {
   BOOST_TEST(ParseEndpoint("127.0.0.1:80").value().port() == 80);
   for (const char* text :
