Size limits that a configuration raises apply to idle connections

Callers on a kept connection got 413 or 431, which they don't repeat, for the first request after a configuration had raised a size limit.

Cause: a connection's parser took the limits when the previous answer ended, not when the request began.

The limits are now read with the first byte of a request and hold until its end, so a lowered limit spares a request that is being read.

Evidence: by tests only, RaisedLimitsApplyToConnectionsThatAreIdleAlready, which failed (413), and LoweredLimitsSpareARequestThatIsBeingRead, which passed before as well.

--- a/packages/http/src/server_connection.cc
+++ b/packages/http/src/server_connection.cc
@@ -59,8 +59,6 @@
 void server_connection::NewParser() {
   parser_.emplace();
   parser_->eager(true);
-  parser_->header_limit(static_cast<uint32_t>(shared_->limits.max_head_bytes));
-  parser_->body_limit(shared_->limits.max_body_bytes);
   head_seen_ = false;
   request_began_ = time_point{};
   idle_since_ = boot_clock::now();
@@ -135,6 +133,10 @@
   while (!busy_ && !closing_ && !closed_ && !input_.empty()) {
     if (request_began_ == time_point{}) {
       request_began_ = boot_clock::now();
+      // The limits may have changed while the connection was idle.
+      parser_->header_limit(
+          static_cast<uint32_t>(shared_->limits.max_head_bytes));
+      parser_->body_limit(shared_->limits.max_body_bytes);
       timer_.Start(shared_->limits.head_timeout, [weak = weak_from_this()] {
         if (auto connection = weak.lock())
           connection->Reject(408);
--- a/packages/http/tests/server_test.cc
+++ b/packages/http/tests/server_test.cc
@@ -247,6 +247,42 @@
   RunUntil([&] { return subject.connection_count() == 0; });
 }
 
+BOOST_FIXTURE_TEST_CASE(RaisedLimitsApplyToConnectionsThatAreIdleAlready,
+                        server_fixture) {
+  server_limits limits;
+  limits.max_head_bytes = 100;
+  limits.max_body_bytes = 10;
+  subject.SetLimits(limits);
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  client.ReadUntil("body of");
+  limits.max_head_bytes = 1000;
+  limits.max_body_bytes = 100;
+  subject.SetLimits(limits);
+  client.Send("POST /p HTTP/1.1\r\nHost: h\r\nA: " + std::string(200, 'a') +
+              "\r\nContent-Length: 20\r\n\r\n" + std::string(20, 'b'));
+  RunUntil(
+      [&] { return subject.connection_count() == 0 || requests.size() == 2; });
+  BOOST_TEST(requests.size() == 2);
+}
+
+// The limits in force when a request begins hold until it ends.
+BOOST_FIXTURE_TEST_CASE(LoweredLimitsSpareARequestThatIsBeingRead,
+                        server_fixture) {
+  raw_client client(*this, subject.port());
+  client.Send("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\nbb");
+  RunUntil([&] { return subject.connection_count() == 1; });
+  loop.restart();
+  loop.poll();
+  server_limits limits;
+  limits.max_head_bytes = 10;
+  limits.max_body_bytes = 10;
+  limits.idle_timeout = Milliseconds(1);
+  subject.SetLimits(limits);
+  client.Send(std::string(18, 'b'));
+  BOOST_TEST(client.ReadUntil("body of").starts_with("HTTP/1.1 200 "));
+}
+
 BOOST_AUTO_TEST_CASE(ParsesAddresses) {
   BOOST_TEST(ParseEndpoint("127.0.0.1:80").value().port() == 80);
   for (const char* text :
