The idle limit does not cut an answer that is still being sent

Callers that read slowly, or behind a full link, got a complete answer only in part when a configuration had set an idle limit shorter than the rest of the transfer.

Cause: a connection counted as idle from the moment at which its answer was complete, although bytes of it still waited for the client.

The idle time now begins when the last byte has been handed to the kernel; a client that takes none is given 30 s for it, as for sending a body.

Evidence: by a test only, AnIdleTimeoutDoesNotCutAnAnswerThatIsBeingSent, which failed. Its client reads all that has arrived at once now, since the answer has to be larger than the kernel's buffers.

--- a/packages/http/src/server_connection.cc
+++ b/packages/http/src/server_connection.cc
@@ -1,5 +1,6 @@
 #include "server_connection.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/verb.hpp>
@@ -21,6 +22,8 @@
 // Time that a client has to read the last answer before the connection is
 // closed.
 constexpr duration kLingerTimeout = Seconds(1);
+// Time limit for sending the rest of an answer to a client that reads slowly.
+constexpr duration kSendTimeout = Seconds(30);
 // Time for the event loop to read input that has already arrived.
 constexpr duration kUnreadInputDelay = Milliseconds(50);
 
@@ -74,8 +77,12 @@
 
 // The limit may have been raised since the timer was started.
 void server_connection::OnIdleTimeout() {
-  const duration left =
-      idle_since_ + shared_->limits.idle_timeout - boot_clock::now();
+  const time_point now = boot_clock::now();
+  // The idle time begins when the answer has been sent.
+  if (unsent_bytes() > 0 && now - idle_since_ < kSendTimeout)
+    return StartIdleTimer(
+        std::max<duration>(shared_->limits.idle_timeout, kUnreadInputDelay));
+  const duration left = idle_since_ + shared_->limits.idle_timeout - now;
   if (left > duration::zero())
     return StartIdleTimer(left);
   if (HasUnreadInput())
@@ -233,6 +240,8 @@
       Shutdown();
     else if (close_when_sent_)
       CloseIfIdle();
+    if (!busy_)
+      idle_since_ = boot_clock::now();
     auto sent = std::move(on_sent_);
     on_sent_ = nullptr;
     if (sent)
--- a/packages/http/tests/loop_fixture.h
+++ b/packages/http/tests/loop_fixture.h
@@ -80,13 +80,16 @@
   }
 
  private:
+  // Reads all that has arrived.
   void Poll() {
-    char buffer[4096];
+    std::array<char, 65536> buffer{};
     boost::system::error_code error;
-    const std::size_t length =
-        socket_.read_some(boost::asio::buffer(buffer), error);
-    received_.append(buffer, length);
-    if (error && error != boost::asio::error::would_block)
+    while (!error) {
+      const std::size_t length =
+          socket_.read_some(boost::asio::buffer(buffer), error);
+      received_.append(buffer.data(), length);
+    }
+    if (error != boost::asio::error::would_block)
       closed_ = true;
   }
 
--- a/packages/http/tests/server_test.cc
+++ b/packages/http/tests/server_test.cc
@@ -283,6 +283,25 @@
   BOOST_TEST(client.ReadUntil("body of").starts_with("HTTP/1.1 200 "));
 }
 
+// The idle time begins when the answer has been sent, not when it is complete.
+BOOST_FIXTURE_TEST_CASE(AnIdleTimeoutDoesNotCutAnAnswerThatIsBeingSent,
+                        server_fixture) {
+  answer_at_once = false;
+  server_limits limits;
+  limits.idle_timeout = Milliseconds(200);
+  subject.SetLimits(limits);
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  RunUntil([&] { return !replies.empty(); });
+  const std::string body = std::string(32'000'000, 'b') + "end";
+  replies[0]->Respond({200, {}}, body);
+  timer pause(loop);
+  bool is_over = false;
+  pause.Start(Milliseconds(500), [&] { is_over = true; });
+  RunUntil([&] { return is_over; });
+  BOOST_TEST(client.ReadUntil("end").ends_with("bend"));
+}
+
 BOOST_AUTO_TEST_CASE(ParsesAddresses) {
   BOOST_TEST(ParseEndpoint("127.0.0.1:80").value().port() == 80);
   for (const char* text :
