An answer whose head arrives by itself is not malformed

Callers of routes that may run once got 502 although their request had run and the endpoint had answered 200; repeatable requests ran a second time. Orders, reports and calls to the store with such answers counted as failed.

Cause: with body_limit(boost::none), Beast 1.74 compares the announced length with an empty optional, which is "less than" any length. The error is lost while input follows the head, and is returned when the input ends with it. So an answer with Content-Length was "malformed" whenever a read ended exactly at the end of its head.

The limit is now the largest number instead of none.

The test AcceptsAnAnswerThatArrivesInTwoPieces failed after byte 38, the end of the head, and passes now.

--- a/packages/http/src/client_connection.cc
+++ b/packages/http/src/client_connection.cc
@@ -7,6 +7,8 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/write.hpp>
 #include <charconv>
+#include <cstdint>
+#include <limits>
 
 namespace jasminepath::http {
 namespace {
@@ -74,7 +76,9 @@
   parser_.emplace();
   parser_->eager(true);
   parser_->header_limit(kMaxAnswerHeadBytes);
-  parser_->body_limit(boost::none);
+  // Without a limit, Beast 1.74 rejects an announced length whose head ends the
+  // input.
+  parser_->body_limit(std::numeric_limits<uint64_t>::max());
   parser_->skip(is_head_request_);
   head_seen_ = skipping_answer_ = false;
 }
--- a/packages/http/tests/client_test.cc
+++ b/packages/http/tests/client_test.cc
@@ -140,6 +140,36 @@
   BOOST_TEST(sink.body == "half");
 }
 
+// Each piece is parsed by itself, whatever the previous one ended with.
+BOOST_DATA_TEST_CASE_F(loop_fixture,
+                       AcceptsAnAnswerThatArrivesInTwoPieces,
+                       boost::unit_test::data::make(
+                           {kAnswer,
+                            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+                            "\r\n2\r\nok\r\n0\r\n\r\n"}),
+                       answer) {
+  const std::string bytes = answer;
+  for (std::size_t split = 1; split < bytes.size(); ++split) {
+    boost::asio::ip::tcp::acceptor acceptor(
+        loop, {boost::asio::ip::make_address("127.0.0.1"), 0});
+    client subject(loop, acceptor.local_endpoint());
+    collecting_sink sink;
+    const auto call = subject.Send(kRequest, false, {}, sink);
+    boost::asio::ip::tcp::socket peer = acceptor.accept();
+    peer.set_option(boost::asio::ip::tcp::no_delay(true));
+    boost::asio::write(peer, boost::asio::buffer(bytes.substr(0, split)));
+    loop.restart();
+    while (loop.run_one_for(std::chrono::milliseconds(5)) > 0) {
+    }
+    boost::asio::write(peer, boost::asio::buffer(bytes.substr(split)));
+    RunUntil([&] { return sink.done(); });
+    BOOST_TEST_CONTEXT("split after " << split) {
+      BOOST_TEST(sink.ended);
+      BOOST_TEST(sink.body == "ok");
+    }
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(ReportsAResetAnswerWithoutLengthAsBroken,
                         loop_fixture) {
   canned_peer peer(*this, {"HTTP/1.1 200 OK\r\n\r\nhalf"});
