--- a/packages/http/src/server_connection.cc
+++ b/packages/http/src/server_connection.cc
@@ -1,5 +1,6 @@
 #include "server_connection.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/verb.hpp>
@@ -21,6 +22,8 @@
 // Time that a client has to read the last answer before the connection is
 // closed.
 constexpr duration kLingerTimeout = Seconds(1);
+// Time limit for sending the rest of an answer to a client that reads slowly.
+constexpr duration kSendTimeout = Seconds(30);
 // Time for the event loop to read input that has already arrived.
 constexpr duration kUnreadInputDelay = Milliseconds(50);
 
@@ -59,8 +62,6 @@
 void server_connection::NewParser() {
   parser_.emplace();
   parser_->eager(true);
-  parser_->header_limit(static_cast<uint32_t>(shared_->limits.max_head_bytes));
-  parser_->body_limit(shared_->limits.max_body_bytes);
   head_seen_ = false;
   request_began_ = time_point{};
   idle_since_ = boot_clock::now();
@@ -76,8 +77,12 @@
 
 // The limit may have been raised since the timer was started.
 void server_connection::OnIdleTimeout() {
-  const duration left =
-      idle_since_ + shared_->limits.idle_timeout - boot_clock::now();
+  const time_point now = boot_clock::now();
+  // The idle time begins when the answer has been sent.
+  if (unsent_bytes() > 0 && now - idle_since_ < kSendTimeout)
+    return StartIdleTimer(
+        std::max<duration>(shared_->limits.idle_timeout, kUnreadInputDelay));
+  const duration left = idle_since_ + shared_->limits.idle_timeout - now;
   if (left > duration::zero())
     return StartIdleTimer(left);
   if (HasUnreadInput())
@@ -108,8 +113,9 @@
 
 void server_connection::OnRead(std::size_t length) {
   // A request that arrives while the connection is being closed cannot be
-  // answered; closing at once lets the client know without delay.
-  if (closing_ && sending_.empty() && unsent_.empty())
+  // answered; closing at once lets the client know without delay. The rest of a
+  // rejected request is discarded until the client has read the rejection.
+  if (closing_ && !rejected_ && sending_.empty() && unsent_.empty())
     return Close();
   if (!closing_)
     input_.append(chunk_.data(), length);
@@ -134,6 +140,10 @@
   while (!busy_ && !closing_ && !closed_ && !input_.empty()) {
     if (request_began_ == time_point{}) {
       request_began_ = boot_clock::now();
+      // The limits may have changed while the connection was idle.
+      parser_->header_limit(
+          static_cast<uint32_t>(shared_->limits.max_head_bytes));
+      parser_->body_limit(shared_->limits.max_body_bytes);
       timer_.Start(shared_->limits.head_timeout, [weak = weak_from_this()] {
         if (auto connection = weak.lock())
           connection->Reject(408);
@@ -208,7 +218,7 @@
   head.append(ReasonPhrase(status));
   head.append("\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
   Send(std::move(head));
-  closing_ = true;
+  closing_ = rejected_ = true;
   Shutdown();
 }
 
@@ -230,6 +240,8 @@
       Shutdown();
     else if (close_when_sent_)
       CloseIfIdle();
+    if (!busy_)
+      idle_since_ = boot_clock::now();
     auto sent = std::move(on_sent_);
     on_sent_ = nullptr;
     if (sent)
--- a/packages/http/tests/server_test.cc
+++ b/packages/http/tests/server_test.cc
@@ -225,6 +225,83 @@
   BOOST_TEST(subject.connection_count() == 1);
 }
 
+// Resetting the connection would discard the rejection at a client that is
+// still sending.
+BOOST_FIXTURE_TEST_CASE(ARejectionReachesAClientThatIsStillSending,
+                        server_fixture) {
+  server_limits limits;
+  limits.max_body_bytes = 1000;
+  subject.SetLimits(limits);
+  raw_client client(*this, subject.port());
+  const std::string piece(20000, 'b');
+  client.Send("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\n");
+  client.ReadUntil("HTTP/1.1 413 ");
+  for (int i = 0; i < 5; ++i) {
+    client.Send(piece);
+    loop.restart();
+    loop.poll();
+  }
+  BOOST_TEST(!client.WasReset());
+  BOOST_TEST(subject.connection_count() == 1);
+  client.Close();
+  RunUntil([&] { return subject.connection_count() == 0; });
+}
+
+BOOST_FIXTURE_TEST_CASE(RaisedLimitsApplyToConnectionsThatAreIdleAlready,
+                        server_fixture) {
+  server_limits limits;
+  limits.max_head_bytes = 100;
+  limits.max_body_bytes = 10;
+  subject.SetLimits(limits);
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  client.ReadUntil("body of");
+  limits.max_head_bytes = 1000;
+  limits.max_body_bytes = 100;
+  subject.SetLimits(limits);
+  client.Send("POST /p HTTP/1.1\r\nHost: h\r\nA: " + std::string(200, 'a') +
+              "\r\nContent-Length: 20\r\n\r\n" + std::string(20, 'b'));
+  RunUntil(
+      [&] { return subject.connection_count() == 0 || requests.size() == 2; });
+  BOOST_TEST(requests.size() == 2);
+}
+
+// The limits in force when a request begins hold until it ends.
+BOOST_FIXTURE_TEST_CASE(LoweredLimitsSpareARequestThatIsBeingRead,
+                        server_fixture) {
+  raw_client client(*this, subject.port());
+  client.Send("POST /p HTTP/1.1\r\nHost: h\r\nContent-Length: 20\r\n\r\nbb");
+  RunUntil([&] { return subject.connection_count() == 1; });
+  loop.restart();
+  loop.poll();
+  server_limits limits;
+  limits.max_head_bytes = 10;
+  limits.max_body_bytes = 10;
+  limits.idle_timeout = Milliseconds(1);
+  subject.SetLimits(limits);
+  client.Send(std::string(18, 'b'));
+  BOOST_TEST(client.ReadUntil("body of").starts_with("HTTP/1.1 200 "));
+}
+
+// The idle time begins when the answer has been sent, not when it is complete.
+BOOST_FIXTURE_TEST_CASE(AnIdleTimeoutDoesNotCutAnAnswerThatIsBeingSent,
+                        server_fixture) {
+  answer_at_once = false;
+  server_limits limits;
+  limits.idle_timeout = Milliseconds(200);
+  subject.SetLimits(limits);
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  RunUntil([&] { return !replies.empty(); });
+  const std::string body = std::string(32'000'000, 'b') + "end";
+  replies[0]->Respond({200, {}}, body);
+  timer pause(loop);
+  bool is_over = false;
+  pause.Start(Milliseconds(500), [&] { is_over = true; });
+  RunUntil([&] { return is_over; });
+  BOOST_TEST(client.ReadUntil("end").ends_with("bend"));
+}
+
 BOOST_AUTO_TEST_CASE(ParsesAddresses) {
   BOOST_TEST(ParseEndpoint("127.0.0.1:80").value().port() == 80);
   for (const char* text :
