--- a/packages/http/tests/loop_fixture.h
+++ b/packages/http/tests/loop_fixture.h
@@ -115,6 +115,11 @@
     close_after_answer_ = true;
     reset_after_answer_ = reset;
   }
+  // The same, but only after the last of its answers.
+  void CloseAfterLastAnswer(bool reset) {
+    CloseAfterAnswer(reset);
+    keep_until_last_answer_ = true;
+  }
   int connections() const { return connections_; }
   const std::string& received() const { return received_; }
 
@@ -158,7 +163,8 @@
     if (next_ >= answers_.size())
       return;
     boost::asio::write(to.socket, boost::asio::buffer(answers_[next_++]));
-    if (!close_after_answer_)
+    if (!close_after_answer_ ||
+        (keep_until_last_answer_ && next_ < answers_.size()))
       return;
     if (reset_after_answer_)
       to.socket.set_option(boost::asio::socket_base::linger(true, 0));
@@ -170,6 +176,7 @@
   std::size_t next_ = 0;
   bool close_after_answer_ = false;
   bool reset_after_answer_ = false;
+  bool keep_until_last_answer_ = false;
   int connections_ = 0;
   std::string received_;
 };
