Gateway: only the same kind of answer continues a begun stream

Seen: a resumable stream had begun and broke off, and the next endpoint answered with another success: 204 or 202, JSON or text, or a 200 marked as not run. Errors (3xx, 4xx, 5xx) of any framing and unsealed answers didn't get through.

Cause: each sealed 2xx was taken for a continuation. Beyond 256 KiB, a sealed answer that isn't one would have been passed on as well.

What passed before is tested as well: streams that end before their first event, streams that may run once, and large plain answers.

A begun stream now goes on only with a sealed answer of the same status and media type that isn't a refusal. Any other counts as a failed attempt, so that the stream is continued by a later one or cut without its last chunk.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -59,6 +59,19 @@
   return status >= 200 && status < 300;
 }
 
+// The type in the Content-Type header without its parameters.
+std::string_view MediaType(const http::response_head& head) {
+  const std::string_view type = head.headers.ValueOf("Content-Type");
+  return type.substr(0, type.find_first_of("; \t"));
+}
+
+// Whether the next endpoint's answer can continue the one that has begun.
+bool IsSameKind(const http::response_head& begun,
+                const http::response_head& next) {
+  return begun.status == next.status &&
+         http::IsEqualIgnoringCase(MediaType(begun), MediaType(next));
+}
+
 }  // namespace
 
 call_session::call_session(call_context& context,
@@ -350,6 +363,13 @@
   Send(choice.endpoint);
 }
 
+bool call_session::IsRelayedStream(const http::response_head& head,
+                                   const answer_fields& fields) const {
+  return route_->kind == request_kind::streaming && IsSuccess(head.status) &&
+         fields.sealed && !fields.not_run && !fields.other_endpoint &&
+         (!answer_started_ || IsSameKind(started_head_, head));
+}
+
 bool call_session::OnHead(const http::response_head& head) {
   answer_fields fields = context_.codec.DecodeAnswer(head);
   if (fields.request && *fields.request != request_.id) {
@@ -367,8 +387,7 @@
   attempt_->fields = fields;
   attempt_->head = head;
   attempt_->head_seen = true;
-  const bool is_stream = route_->kind == request_kind::streaming;
-  if (is_stream && IsSuccess(head.status) && fields.sealed) {
+  if (IsRelayedStream(head, fields)) {
     attempt_->relaying = true;
     StartSilenceTimer();
     // The head is relayed together with the first event, so that an attempt
@@ -402,7 +421,9 @@
   attempt_->body.append(piece);
   if (attempt_->body.size() <= kMaxBufferedAnswerBytes)
     return;
-  if (!IsSuccess(attempt_->head.status) || !attempt_->fields.sealed)
+  // Nothing of an answer that doesn't continue the begun one may be passed on.
+  if (answer_started_ || !IsSuccess(attempt_->head.status) ||
+      !attempt_->fields.sealed || attempt_->fields.not_run)
     return OnFailure(http::call_failure::malformed);
   attempt_->relaying = true;
   const std::string body = std::move(attempt_->body);
@@ -432,6 +453,7 @@
 void call_session::Relay(std::string_view piece) {
   if (!answer_started_) {
     answer_started_ = true;
+    started_head_ = attempt_->head;
     RecordFirstByte();
     reply_->Start(WithoutConnectionFields(attempt_->head));
   }
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -71,6 +71,10 @@
   void StartSilenceTimer();
   void OnSilence();
 
+  // Whether the answer is passed on event by event: a stream that also
+  // continues the one that has begun, if any.
+  bool IsRelayedStream(const http::response_head& head,
+                       const answer_fields& fields) const;
   bool OnHead(const http::response_head& head) override;
   void OnBody(std::string_view piece) override;
   void OnEnd() override;
@@ -137,6 +141,8 @@
   // At least one attempt may have run the request.
   bool may_have_run_ = false;
   bool answer_started_ = false;
+  // Head of the answer that has started.
+  http::response_head started_head_;
   // Time at which the last piece of the answer was relayed, and the longest
   // pause between two pieces.
   time_point relayed_at_{};
