Gateway: a begun stream continues only with its next event

Seen: a resumable stream had begun and broke off, and the next endpoint's stream began with another event than the one after Last-Event-Id: from the start, with the last event again, one event too late, or without an id (such as a text that ends with a blank line).

Cause: the ids of the next endpoint's events weren't compared with those that had been passed on.

The first event of a continuation needs an id above the last one; if the stream has numbered its events one by one so far, it must be the next number. Another one counts as a failed attempt, so that a later attempt continues the stream or it is cut. Streams whose ids skip numbers go on as before. Later events of the same answer aren't checked, since they are the endpoint's own.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -313,6 +313,7 @@
   attempt_ = attempt();
   attempt_->endpoint = std::move(endpoint);
   attempt_->sent_at = boot_clock::now();
+  relayed_events_.BeginAnswer();
   const http::call_options options = MakeCallOptions(*attempt_->endpoint);
   Log("sent", attempt_->endpoint->entry.id.value(), 0);
   call_ = attempt_->endpoint->client->Send(
@@ -443,6 +444,8 @@
   if (!splitter_.Append(piece))
     return OnFailure(http::call_failure::malformed);
   while (auto event = splitter_.Next()) {
+    if (!relayed_events_.Add(*event))
+      return OnFailure(http::call_failure::malformed);
     RecordAnswered();
     if (event->index)
       last_event_id_ = std::to_string(*event->index);
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -11,6 +11,7 @@
 #include "call_context.h"
 #include "jasminepath/http/client.h"
 #include "jasminepath/http/event_boundary_scanner.h"
+#include "jasminepath/http/event_sequence.h"
 #include "jasminepath/http/event_stream_splitter.h"
 #include "jasminepath/http/server.h"
 
@@ -131,6 +132,8 @@
   // Connections that have carried failed attempts of this call.
   std::vector<std::pair<endpoint_id, uint64_t>> used_connections_;
   http::event_stream_splitter splitter_;
+  // Events of a resumable stream that were relayed.
+  http::event_sequence relayed_events_;
   std::optional<std::string> last_event_id_;
   // Attempts that ran or may have run the request.
   int64_t runs_ = 0;
