Gateway: a stream whose position is unknown isn't continued

Seen: a resumable stream broke off after an event without an id (or with one that isn't a number).

Cause: each resumable stream was sent again, also if the id of its last event wasn't known.

A stream that falls silent takes the same check; no test covers that path, since it would wait for seconds.

Such a stream is now cut without its last chunk, and the caller, which knows what it has, may resume it.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -350,7 +350,7 @@
   const bool is_in_rotation =
       choice.endpoint && choice.endpoint->health.StageAt(boot_clock::now()) ==
                              decision::endpoint_health::stage::in_use;
-  if (!is_in_rotation || tries_ >= kMaxTries ||
+  if (!is_in_rotation || tries_ >= kMaxTries || !CanContinueAnswer() ||
       TimeLeft() < kMinTimeToSend + kAnswerMargin || IsBlocked() ||
       !context_.retries.For(service_).Take())
     return StartSilenceTimer();
@@ -570,9 +570,12 @@
   RetryOrFail(std::string(http::NameOf(failure)));
 }
 
-// A begun answer can be continued only if it is a stream.
+bool call_session::CanContinueAnswer() const {
+  return !answer_started_ || relayed_events_.CanContinue();
+}
+
 bool call_session::CanRetry() {
-  if (answer_started_ && route_->kind != request_kind::streaming)
+  if (!CanContinueAnswer())
     return false;
   if (may_have_run_ && !route_->IsRepeatable())
     return false;
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -88,6 +88,9 @@
   // Retries the request after a failed attempt, or ends the call.
   void RetryOrFail(const std::string& reason);
   bool CanRetry();
+  // Whether another endpoint's answer can complete the one that has begun, if
+  // any: that of a stream whose position is known.
+  bool CanContinueAnswer() const;
   // Whether the request must not be sent because it crashes endpoints.
   bool IsBlocked() const;
   void RefuseBlocked();
--- a/packages/http/include/jasminepath/http/event_sequence.h
+++ b/packages/http/include/jasminepath/http/event_sequence.h
@@ -18,11 +18,17 @@
   // stream with this event.
   bool Add(const stream_event& event);
 
+  // Whether the stream's position is known, so that another answer can go on
+  // after its last event.
+  bool CanContinue() const { return has_position_; }
+
  private:
   bool IsNext(const stream_event& event) const;
 
   // Index of the last event that has one.
   std::optional<int64_t> last_;
+  // Whether the last event has an index.
+  bool has_position_ = false;
   bool is_first_of_answer_ = true;
   // Whether there were two indexes, and each was one more than the one before.
   bool is_consecutive_ = false;
--- a/packages/http/src/event_sequence.cc
+++ b/packages/http/src/event_sequence.cc
@@ -7,7 +7,8 @@
   is_first_of_answer_ = false;
   if (is_first && last_ && !IsNext(event))
     return false;
-  if (!event.index)
+  has_position_ = event.index.has_value();
+  if (!has_position_)
     return true;
   if (last_) {
     has_gap_ = has_gap_ || *event.index <= *last_ || *event.index - 1 != *last_;
--- a/packages/http/tests/event_sequence_test.cc
+++ b/packages/http/tests/event_sequence_test.cc
@@ -53,6 +53,15 @@
     BOOST_TEST(subject.Add({"", index, false}));
 }
 
+BOOST_AUTO_TEST_CASE(AStreamCanContinueAfterAnEventWithIndex) {
+  event_sequence subject;
+  BOOST_TEST(!subject.CanContinue());
+  subject.Add({"", 1, false});
+  BOOST_TEST(subject.CanContinue());
+  subject.Add({"", std::nullopt, false});
+  BOOST_TEST(!subject.CanContinue());
+}
+
 BOOST_AUTO_TEST_CASE(IndexesMayHaveAnyValue) {
   const int64_t largest = std::numeric_limits<int64_t>::max();
   BOOST_TEST(!Continues({largest - 1, largest}, largest));
