Own interface: only an event stream continues a begun one

Seen: a model stream had begun and broke off, and the engine answered the resuming request with an error, or with a success that isn't an event stream.

Cause: answer_relay passed on whatever a resumed attempt brought, since the relay had begun.

The body of such an answer is read and dropped. Its attempt counts as cut, since the stream lacks its last event, so that it is resumed once more or ended by the error event of docs/node.md without the last chunk.

--- a/packages/node/src/answer_relay.cc
+++ b/packages/node/src/answer_relay.cc
@@ -33,6 +33,8 @@
   splitter_.Reset();
   buffered_body_.clear();
   status_ = 0;
+  is_resumed_ = is_resumed;
+  is_ignored_ = false;
   if (is_resumed)
     return;
   is_event_stream_ = false;
@@ -43,14 +45,19 @@
 
 void answer_relay::OnHead(int status,
                           const std::vector<endpoint::header>& headers) {
-  status_ = status;
-  headers_ = endpoint::FilterResponseHeaders(headers);
   const bool is_event_stream =
       accepts_event_stream_ && IsEventStream(status, headers);
+  is_ignored_ = is_resumed_ && !is_event_stream;
+  if (is_ignored_)
+    return;
+  status_ = status;
+  headers_ = endpoint::FilterResponseHeaders(headers);
   is_event_stream_ = is_event_stream_ || is_event_stream;
 }
 
 bool answer_relay::OnBody(std::string_view part) {
+  if (is_ignored_)
+    return true;
   if (!part.empty())
     ReportFirstByte();
   if (is_event_stream_ && status_ == kStatusOk)
--- a/packages/node/src/answer_relay.h
+++ b/packages/node/src/answer_relay.h
@@ -79,6 +79,10 @@
   std::optional<token_usage> usage_;
   int64_t event_count_ = 0;
   int64_t next_event_ = 0;
+  bool is_resumed_ = false;
+  // The answer of a resumed attempt isn't the rest of the stream, so that
+  // nothing of it is relayed.
+  bool is_ignored_ = false;
   bool is_event_stream_ = false;
   bool has_event_indexes_ = true;
   bool is_relaying_ = false;
