Own interface: a resumed stream goes on with its next event only

Seen: a model stream had begun and broke off, and the resumed stream began one event too late, with an event without an index or with a text that ends with a blank line.

Cause: answer_relay skipped events that the caller has, but took any other for the next one.

Such an attempt is cancelled, so that the stream ends with the error event and without the last chunk.

--- a/packages/node/src/answer_relay.cc
+++ b/packages/node/src/answer_relay.cc
@@ -92,6 +92,8 @@
   while (auto event = splitter_.Next()) {
     if (event->index && *event->index < next_event_)
       continue;
+    if (is_resumed_ && !event->done && event->index != next_event_)
+      return false;
     has_event_indexes_ =
         has_event_indexes_ && (event->index.has_value() || event->done);
     if (event->index)
--- a/packages/node/src/answer_relay.h
+++ b/packages/node/src/answer_relay.h
@@ -35,8 +35,8 @@
   void BeginAttempt(bool is_resumed);
 
   void OnHead(int status, const std::vector<endpoint::header>& headers);
-  // Returns false if the caller has disconnected, or if an event exceeds the
-  // size limit.
+  // Returns false if the caller has disconnected, if an event exceeds the size
+  // limit, or if an event of a resumed stream isn't its next one.
   bool OnBody(std::string_view part);
 
   // Whether the answer is complete. An event stream is complete after "[DONE]".
--- a/packages/node/tests/broken_stream_test.cc
+++ b/packages/node/tests/broken_stream_test.cc
@@ -275,5 +275,39 @@
   }
 }
 
+// Streams whose first new event isn't the one after kBegun.
+const std::vector<named_text> kOtherEvents = {
+    {"missing_event", WholeStream("id: 3\ndata: d\n\ndata: [DONE]\n\n")},
+    {"event_without_id", WholeStream("data: c\n\ndata: [DONE]\n\n")},
+    {"text", WholeStream("error text\n\n")},
+};
+
+BOOST_FIXTURE_TEST_CASE(AStreamThatLacksAnEventIsCut, worker_fixture) {
+  for (const named_text& next : kOtherEvents) {
+    for (const named_text& start : kBrokenStarts) {
+      BOOST_TEST_CONTEXT(start.name << ", then " << next.name) {
+        const caller_answer answer =
+            Receive("/stream", {start.text, next.text, WholeStream(kRest)});
+        BOOST_TEST(!answer.is_complete);
+        BOOST_TEST(answer.body.substr(0, answer.body.find("event: error")) ==
+                   kBegun);
+      }
+    }
+  }
+}
+
+// An engine may send events again that the caller has.
+BOOST_FIXTURE_TEST_CASE(NoEventOfABegunStreamComesTwice, worker_fixture) {
+  for (const named_text& start : kBrokenStarts) {
+    for (const std::string& again :
+         {kBegun, kBegun.substr(kBegun.size() / 2)}) {
+      const caller_answer answer =
+          Receive("/stream", {start.text, WholeStream(again + kRest)});
+      BOOST_TEST(answer.is_complete);
+      BOOST_TEST(answer.body == kBegun + kRest);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace jasminepath::node
