Own interface: "[DONE]" comes once

Cause: "[DONE]" has no index, so it wasn't recognized as one that the caller has.

Nothing that follows "[DONE]" is passed on any more.

--- a/packages/node/src/answer_relay.cc
+++ b/packages/node/src/answer_relay.cc
@@ -90,7 +90,8 @@
   if (!splitter_.Append(part))
     return false;
   while (auto event = splitter_.Next()) {
-    if (event->index && *event->index < next_event_)
+    // A stream that breaks off after "[DONE]" is resumed for its end only.
+    if (has_done_event_ || (event->index && *event->index < next_event_))
       continue;
     if (is_resumed_ && !event->done && event->index != next_event_)
       return false;
--- a/packages/node/tests/broken_stream_test.cc
+++ b/packages/node/tests/broken_stream_test.cc
@@ -309,5 +309,16 @@
   }
 }
 
+BOOST_FIXTURE_TEST_CASE(TheLastEventComesOnce, worker_fixture) {
+  const std::string whole = StreamHead() + Chunk(kBegun + kRest);
+  for (const std::string& next :
+       {WholeStream(kRest), WholeStream("data: [DONE]\n\n"), WholeStream(""),
+        Plain("404 Not Found", "error text")}) {
+    const caller_answer answer = Receive("/stream", {whole, next});
+    BOOST_TEST(answer.is_complete);
+    BOOST_TEST(answer.body == kBegun + kRest);
+  }
+}
+
 }  // namespace
 }  // namespace jasminepath::node
