--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -329,6 +329,7 @@
   attempt_->endpoint = std::move(endpoint);
   last_endpoint_ = attempt_->endpoint->entry.id;
   attempt_->sent_at = boot_clock::now();
+  relayed_events_.BeginAnswer();
   const http::call_options options = MakeCallOptions(*attempt_->endpoint);
   Log("sent", attempt_->endpoint->entry.id.value(), 0);
   call_ = attempt_->endpoint->client->Send(
@@ -365,7 +366,7 @@
   const bool is_in_rotation =
       choice.endpoint && choice.endpoint->health.StageAt(boot_clock::now()) ==
                              decision::endpoint_health::stage::in_use;
-  if (!is_in_rotation || tries_ >= kMaxTries ||
+  if (!is_in_rotation || tries_ >= kMaxTries || !CanContinueAnswer() ||
       TimeLeft() < kMinTimeToSend + kAnswerMargin || IsBlocked() ||
       !context_.retries.For(service_).Take())
     return StartSilenceTimer();
@@ -460,6 +461,8 @@
     return OnFailure(http::call_failure::malformed);
   std::string events;
   while (auto event = splitter_.Next()) {
+    if (!relayed_events_.Add(*event))
+      return OnFailure(http::call_failure::malformed);
     RecordAnswered();
     if (event->index)
       last_event_id_ = std::to_string(*event->index);
@@ -589,9 +592,12 @@
   RetryOrFail(std::string(http::NameOf(failure)));
 }
 
-// A begun answer can be continued only if it is a stream.
+bool call_session::CanContinueAnswer() const {
+  return !answer_started_ || relayed_events_.CanContinue();
+}
+
 bool call_session::CanRetry() {
-  if (answer_started_ && route_->kind != request_kind::streaming)
+  if (!CanContinueAnswer())
     return false;
   if (may_have_run_ && !route_->IsRepeatable())
     return false;
--- a/packages/node/src/answer_relay.h
+++ b/packages/node/src/answer_relay.h
@@ -35,8 +35,8 @@
   void BeginAttempt(bool is_resumed);
 
   void OnHead(int status, const std::vector<endpoint::header>& headers);
-  // Returns false if the caller has disconnected, or if an event exceeds the
-  // size limit.
+  // Returns false if the caller has disconnected, if an event exceeds the size
+  // limit, or if an event of a resumed stream isn't its next one.
   bool OnBody(std::string_view part);
 
   // Whether the answer is complete. An event stream is complete after "[DONE]".
@@ -79,6 +79,10 @@
   std::optional<token_usage> usage_;
   int64_t event_count_ = 0;
   int64_t next_event_ = 0;
+  bool is_resumed_ = false;
+  // The answer of a resumed attempt isn't the rest of the stream, so that
+  // nothing of it is relayed.
+  bool is_ignored_ = false;
   bool is_event_stream_ = false;
   bool has_event_indexes_ = true;
   bool is_relaying_ = false;
