Own interface: a connection closes only after an answer that announced it

Seen by callers: from SIGTERM on, each answer said Connection: Keep-Alive and the connection closed right after it; a request sent next on it was reset, with neither an answer nor a refusal, so a caller of a once-only route could not know whether it had run. Cause: keep-alive was switched off after the handler, when the head had gone out; the same for a stream that began before the stop. Evidence: AnswerDuringStopIsNotFollowedByUnannouncedClose failed before with "Connection: Keep-Alive" and a close, RequestAfterStreamThatBeganBeforeStopIsAnswered with "(reset)". Works since the head is what decides: it is written by a response that looks whether a stop has begun, and the connection's own loop (in place of POCO's, which closes by its own copy) ends only as the head said. A stream from before the stop leaves one more request, whose answer announces the close; once calls are refused, that answer is the refusal.

--- a/packages/node/src/http_server.cc
+++ b/packages/node/src/http_server.cc
@@ -2,22 +2,28 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/Context.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServerConnection.h>
+#include <Poco/Net/HTTPMessage.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SecureServerSocket.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerConnection.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/ThreadPool.h>
+#include <Poco/Timestamp.h>
 #include <sys/socket.h>
 
 #include <atomic>
+#include <cstddef>
+#include <ostream>
 #include <thread>
 #include <utility>
 
@@ -76,66 +82,41 @@
   std::atomic<bool> is_stopping{false};
 };
 
-class request_handler : public Poco::Net::HTTPRequestHandler {
+// Announces in the head of each answer whether the connection closes after it.
+class announced_response : public Poco::Net::HTTPServerResponseImpl {
  public:
-  explicit request_handler(server_state& state) : state_(state) {}
+  announced_response(Poco::Net::HTTPServerSession& session,
+                     const server_state& state)
+      : HTTPServerResponseImpl(session), state_(state) {}
 
-  void handleRequest(Poco::Net::HTTPServerRequest& request,
-                     Poco::Net::HTTPServerResponse& response) override {
-    const int descriptor = DescriptorOf(request);
-    state_.watchdog.OnRequest(descriptor);
-    const in_progress_counter count(state_.in_progress);
-    if (IsOverloaded()) {
-      response.setKeepAlive(false);
-      state_.refuse(request, response);
-    } else {
-      state_.handle(request, response);
-    }
-    if (state_.is_stopping)
-      response.setKeepAlive(false);
-    state_.watchdog.OnWaiting(
-        descriptor,
-        boot_clock::now() + state_.idle_timeout + state_.header_timeout);
+  std::ostream& send() override {
+    AnnounceClose();
+    return HTTPServerResponseImpl::send();
   }
 
- private:
-  bool IsOverloaded() const {
-    return state_.in_progress > state_.max_requests ||
-           static_cast<int64_t>(state_.watchdog.size()) >
-               state_.max_connections;
-  }
-
-  static int DescriptorOf(Poco::Net::HTTPServerRequest& request) {
-    return static_cast<Poco::Net::HTTPServerRequestImpl&>(request)
-        .socket()
-        .impl()
-        ->sockfd();
+  void sendBuffer(const void* data, std::size_t size) override {
+    AnnounceClose();
+    HTTPServerResponseImpl::sendBuffer(data, size);
   }
 
-  server_state& state_;
-};
-
-class handler_factory : public Poco::Net::HTTPRequestHandlerFactory {
- public:
-  explicit handler_factory(server_state& state) : state_(state) {}
-
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-      const Poco::Net::HTTPServerRequest&) override {
-    return new request_handler(state_);
+ private:
+  void AnnounceClose() {
+    if (state_.is_stopping)
+      setKeepAlive(false);
   }
 
- private:
-  server_state& state_;
+  const server_state& state_;
 };
 
-// A connection that is registered with the watchdog while it is open.
-class watched_connection : public Poco::Net::HTTPServerConnection {
+// A connection that is registered with the watchdog while it is open. It closes
+// after an answer only if the head of that answer has said so.
+class watched_connection : public Poco::Net::TCPServerConnection {
  public:
   watched_connection(const Poco::Net::StreamSocket& socket,
-                     const Poco::Net::HTTPServerParams::Ptr& params,
-                     const Poco::Net::HTTPRequestHandlerFactory::Ptr& factory,
+                     Poco::Net::HTTPServerParams::Ptr params,
                      server_state& state)
-      : HTTPServerConnection(socket, params, factory),
+      : TCPServerConnection(socket),
+        params_(std::move(params)),
         state_(state),
         descriptor_(socket.impl()->sockfd()) {
     state_.watchdog.OnWaiting(descriptor_,
@@ -143,7 +124,65 @@
   }
   ~watched_connection() override { state_.watchdog.OnClosed(descriptor_); }
 
+  void run() override {
+    Poco::Net::HTTPServerSession session(socket(), params_);
+    while (session.hasMoreRequests()) {
+      try {
+        ServeRequest(session);
+      } catch (const Poco::Net::NoMessageException&) {
+        return;
+      } catch (const Poco::Net::MessageException&) {
+        SendError(session, Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
+      }
+    }
+  }
+
  private:
+  void ServeRequest(Poco::Net::HTTPServerSession& session) {
+    announced_response response(session, state_);
+    // Reads the head.
+    Poco::Net::HTTPServerRequestImpl request(response, session, params_.get());
+    response.setDate(Poco::Timestamp());
+    response.setVersion(request.getVersion());
+    response.setKeepAlive(request.getKeepAlive() && session.canKeepAlive());
+    if (request.getExpectContinue())
+      response.sendContinue();
+    Handle(request, response);
+    session.setKeepAlive(response.getKeepAlive());
+  }
+
+  void Handle(Poco::Net::HTTPServerRequest& request,
+              Poco::Net::HTTPServerResponse& response) {
+    state_.watchdog.OnRequest(descriptor_);
+    const in_progress_counter count(state_.in_progress);
+    if (IsOverloaded()) {
+      response.setKeepAlive(false);
+      state_.refuse(request, response);
+    } else {
+      state_.handle(request, response);
+    }
+    state_.watchdog.OnWaiting(
+        descriptor_,
+        boot_clock::now() + state_.idle_timeout + state_.header_timeout);
+  }
+
+  bool IsOverloaded() const {
+    return state_.in_progress > state_.max_requests ||
+           static_cast<int64_t>(state_.watchdog.size()) >
+               state_.max_connections;
+  }
+
+  static void SendError(Poco::Net::HTTPServerSession& session,
+                        Poco::Net::HTTPResponse::HTTPStatus status) {
+    Poco::Net::HTTPServerResponseImpl response(session);
+    response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+    response.setStatusAndReason(status);
+    response.setKeepAlive(false);
+    response.send();
+    session.setKeepAlive(false);
+  }
+
+  Poco::Net::HTTPServerParams::Ptr params_;
   server_state& state_;
   const int descriptor_;
 };
@@ -152,19 +191,16 @@
  public:
   connection_factory(server_state& state,
                      Poco::Net::HTTPServerParams::Ptr params)
-      : state_(state),
-        params_(std::move(params)),
-        handlers_(new handler_factory(state)) {}
+      : state_(state), params_(std::move(params)) {}
 
   Poco::Net::TCPServerConnection* createConnection(
       const Poco::Net::StreamSocket& socket) override {
-    return new watched_connection(socket, params_, handlers_, state_);
+    return new watched_connection(socket, params_, state_);
   }
 
  private:
   server_state& state_;
   const Poco::Net::HTTPServerParams::Ptr params_;
-  const Poco::Net::HTTPRequestHandlerFactory::Ptr handlers_;
 };
 
 Poco::Net::ServerSocket Listen(const http_server_settings& settings) {
--- a/packages/node/src/http_server.h
+++ b/packages/node/src/http_server.h
@@ -69,7 +69,9 @@
   // Number of open connections.
   int64_t connections() const;
 
-  // Disables keep-alive, so that connections close after their next answer.
+  // Lets each connection close after the next answer whose head is written from
+  // now on, and announces it there. After a stream that began before, a
+  // connection serves one more request.
   void BeginDrain();
 
   // Stops accepting connections, shuts down idle connections, and waits up to
--- /dev/null
+++ b/packages/node/tests/planned_stop_test.cc
@@ -0,0 +1,103 @@
+#include <Poco/Net/HTTPServerRequest.h>
+#include <Poco/Net/HTTPServerResponse.h>
+
+#include <boost/test/unit_test.hpp>
+#include <future>
+#include <string>
+#include <utility>
+
+#include "caller_connection.h"
+#include "http_server.h"
+#include "raw_caller.h"
+
+namespace jasminepath::node {
+namespace {
+
+constexpr char kRequest[] = "GET /plain HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr char kStreamRequest[] = "GET /stream HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr char kEndOfHead[] = "\r\n\r\n";
+constexpr char kLastChunk[] = "\r\n0\r\n\r\n";
+
+// Streams end, and other answers begin, when the test says so.
+class stopping_server {
+ public:
+  stopping_server()
+      : server_(
+            MakeSettings(),
+            [this](auto& request, auto& response) {
+              Handle(request, response);
+            },
+            [](auto&, auto&) {}) {}
+
+  http_server& server() { return server_; }
+  std::string address() const { return server_.address(); }
+  void FinishRequests() { finish_.set_value(); }
+  void WaitForRequest() { begun_.get_future().wait(); }
+
+ private:
+  static http_server_settings MakeSettings() {
+    http_server_settings settings;
+    settings.listen = "127.0.0.1:0";
+    return settings;
+  }
+
+  void Handle(Poco::Net::HTTPServerRequest& request,
+              Poco::Net::HTTPServerResponse& response) {
+    caller_connection caller(request, response, request_id("r"));
+    const bool is_first = !std::exchange(has_begun_, true);
+    if (request.getURI() == "/stream") {
+      caller.BeginStream(200, {});
+      caller.WriteStream("data: 1\n\n");
+    }
+    if (is_first) {
+      begun_.set_value();
+      finished_.wait();
+    }
+    if (caller.has_started())
+      caller.EndStream();
+    else
+      caller.SendAnswer(200, {}, "done");
+  }
+
+  bool has_begun_ = false;
+  std::promise<void> begun_;
+  std::promise<void> finish_;
+  const std::shared_future<void> finished_{finish_.get_future()};
+  http_server server_;
+};
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+BOOST_AUTO_TEST_CASE(AnswerDuringStopIsNotFollowedByUnannouncedClose) {
+  stopping_server site;
+  raw_caller caller(site.address());
+  caller.Send(kRequest);
+  site.WaitForRequest();
+  site.server().BeginDrain();
+  site.FinishRequests();
+  const std::string answer = caller.ReadAll();
+  BOOST_TEST(answer.ends_with("done"), answer);
+  BOOST_TEST(Contains(answer, "Connection: Close"), answer);
+}
+
+BOOST_AUTO_TEST_CASE(RequestAfterStreamThatBeganBeforeStopIsAnswered) {
+  stopping_server site;
+  raw_caller caller(site.address());
+  caller.Send(kStreamRequest);
+  const std::string head = caller.ReadThrough(kEndOfHead);
+  BOOST_TEST(Contains(head, "Connection: Keep-Alive"), head);
+  site.WaitForRequest();
+  site.server().BeginDrain();
+  site.FinishRequests();
+  const std::string events = caller.ReadThrough(kLastChunk);
+  BOOST_TEST(events.ends_with(kLastChunk), events);
+  caller.Send(kRequest);
+  const std::string answer = caller.ReadAll();
+  BOOST_TEST(answer.ends_with("done"), answer);
+  BOOST_TEST(Contains(answer, "Connection: Close"), answer);
+}
+
+}  // namespace
+}  // namespace jasminepath::node
