Own interface: no connection is taken once nobody reads it

Seen by callers: at the end of a planned stop a new connection was still established, and its request hung, for up to the 2 s that the node waits for requests in progress; then it was reset. Cause: POCO's TCPServer::stop() ends the accepting thread and leaves the listening socket open, so that the kernel goes on accepting. Evidence: ConnectionIsRefusedOnceNobodyAcceptsIt failed before: the connection was established after Stop(). Works since the socket is closed as soon as its thread has ended: a caller is refused at once and goes elsewhere, and what waits in the backlog is reset unread.

--- a/packages/node/src/http_server.cc
+++ b/packages/node/src/http_server.cc
@@ -24,6 +24,7 @@
 #include <atomic>
 #include <cstddef>
 #include <ostream>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -246,14 +247,19 @@
              kThreadIdleSeconds,
              kThreadStackBytes),
         params(MakeParams(settings)),
-        server(new connection_factory(state, params),
-               pool,
-               Listen(settings),
-               params) {
+        listener(Listen(settings)),
+        address(listener.address().toString()),
+        server(new connection_factory(state, params), pool, listener, params) {
     server.start();
     watchdog_thread = std::thread([this] { MonitorConnections(); });
   }
 
+  // Callers are refused from then on; those that nobody has accepted are reset.
+  void StopListening() {
+    server.stop();
+    listener.close();
+  }
+
   void MonitorConnections() {
     while (!is_closing) {
       state.watchdog.ShutDownOverdue(boot_clock::now());
@@ -264,6 +270,9 @@
   server_state state;
   Poco::ThreadPool pool;
   Poco::Net::HTTPServerParams::Ptr params;
+  // Shares its descriptor with `server`, which never closes it.
+  Poco::Net::ServerSocket listener;
+  const std::string address;
   Poco::Net::TCPServer server;
   std::atomic<bool> is_closing{false};
   std::thread watchdog_thread;
@@ -285,7 +294,7 @@
 }
 
 std::string http_server::address() const {
-  return implementation_->server.socket().address().toString();
+  return implementation_->address;
 }
 
 int64_t http_server::connections() const {
@@ -298,7 +307,7 @@
 
 void http_server::Stop(duration timeout) {
   BeginDrain();
-  implementation_->server.stop();
+  implementation_->StopListening();
   implementation_->state.watchdog.ShutDownIdle();
   const time_point deadline = boot_clock::now() + timeout;
   while (implementation_->state.in_progress > 0 && boot_clock::now() < deadline)
--- a/packages/node/tests/planned_stop_test.cc
+++ b/packages/node/tests/planned_stop_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -22,15 +23,15 @@
 class stopping_server {
  public:
   stopping_server()
-      : server_(
+      : server_(std::make_unique<http_server>(
             MakeSettings(),
             [this](auto& request, auto& response) {
               Handle(request, response);
             },
-            [](auto&, auto&) {}) {}
+            [](auto&, auto&) {})) {}
 
-  http_server& server() { return server_; }
-  std::string address() const { return server_.address(); }
+  http_server& server() { return *server_; }
+  std::string address() const { return server_->address(); }
   void FinishRequests() { finish_.set_value(); }
   void WaitForRequest() { begun_.get_future().wait(); }
 
@@ -63,7 +64,7 @@
   std::promise<void> begun_;
   std::promise<void> finish_;
   const std::shared_future<void> finished_{finish_.get_future()};
-  http_server server_;
+  std::unique_ptr<http_server> server_;
 };
 
 bool Contains(const std::string& text, const std::string& part) {
@@ -99,5 +100,16 @@
   BOOST_TEST(Contains(answer, "Connection: Close"), answer);
 }
 
+BOOST_AUTO_TEST_CASE(ConnectionIsRefusedOnceNobodyAcceptsIt) {
+  stopping_server site;
+  raw_caller caller(site.address());
+  caller.Send(kRequest);
+  site.WaitForRequest();
+  const std::string address = site.address();
+  site.server().Stop(Seconds(0));
+  BOOST_CHECK_THROW(raw_caller late(address), Poco::Exception);
+  site.FinishRequests();
+}
+
 }  // namespace
 }  // namespace jasminepath::node
