Own interface: a request that crosses the end of its connection is answered or not read

Seen by callers: a request that had arrived on a kept connection when the node closed the idle ones, or was half there, was read and then dropped: the connection ended without an answer, and the caller of a once-only route could not know whether it had run. Cause: a connection counted as idle until its whole head had been parsed, and idle connections were shut down in both directions, so that the request was still read but its answer could not be written; the node then waited only for requests with a parsed head. Works since a connection is idle only until its first byte, and idle ones are ended for reading alone: bytes that have arrived are read and answered, and later ones are reset unread. The node waits, up to the same time, until every connection has closed.

--- a/packages/node/src/connection_watchdog.h
+++ b/packages/node/src/connection_watchdog.h
@@ -18,21 +18,31 @@
 // open, so that a reused descriptor is never shut down by mistake.
 class connection_watchdog {
  public:
-  // `shut_down` ends the connection of a descriptor; it is called with the lock
-  // held.
-  explicit connection_watchdog(std::function<void(int)> shut_down)
+  // Acts on the connection of a descriptor; called with the lock held.
+  using descriptor_action = std::function<void(int)>;
+
+  // `shut_down` ends a connection.
+  explicit connection_watchdog(descriptor_action shut_down)
       : shut_down_(std::move(shut_down)) {}
 
-  // Sets the deadline for the next request head of the connection.
+  // The connection is idle. Sets the deadline for its next request head.
   void OnWaiting(int descriptor, time_point deadline) {
     const std::lock_guard lock(mutex_);
-    connections_[descriptor] = deadline;
+    connections_[descriptor] = {deadline, true};
+    if (end_idle_)
+      end_idle_(descriptor);
+  }
+
+  // A request head has begun to arrive.
+  void OnArriving(int descriptor) {
+    const std::lock_guard lock(mutex_);
+    connections_[descriptor].is_idle = false;
   }
 
   // Clears the deadline: a complete request head has arrived.
   void OnRequest(int descriptor) {
     const std::lock_guard lock(mutex_);
-    connections_[descriptor] = std::nullopt;
+    connections_[descriptor] = {};
   }
 
   // Removes the connection before its descriptor is closed.
@@ -43,20 +53,25 @@
 
   // Shuts down each connection past its deadline, once. Returns their number.
   std::size_t ShutDownOverdue(time_point now) {
-    return ShutDownIf([now](const auto& deadline) {
-      return deadline.has_value() && *deadline <= now;
+    return ShutDownIf([now](const connection& value) {
+      return value.deadline.has_value() && *value.deadline <= now;
     });
   }
 
-  // Shuts down the connections that wait for a request.
-  std::size_t ShutDownIdle() {
-    return ShutDownIf(
-        [](const auto& deadline) { return deadline.has_value(); });
+  // Calls `end_idle` on the idle connections, and from then on on each one that
+  // becomes idle.
+  void EndIdle(descriptor_action end_idle) {
+    const std::lock_guard lock(mutex_);
+    end_idle_ = std::move(end_idle);
+    for (const auto& [descriptor, value] : connections_) {
+      if (value.is_idle)
+        end_idle_(descriptor);
+    }
   }
 
   // Shuts down every connection.
   std::size_t ShutDownAll() {
-    return ShutDownIf([](const auto&) { return true; });
+    return ShutDownIf([](const connection&) { return true; });
   }
 
   // Number of open connections.
@@ -66,23 +81,31 @@
   }
 
  private:
+  struct connection {
+    std::optional<time_point> deadline;
+    bool is_idle = false;
+
+    friend bool operator==(const connection&, const connection&) = default;
+  };
+
   template <typename Predicate>
   std::size_t ShutDownIf(Predicate predicate) {
     const std::lock_guard lock(mutex_);
     std::size_t count = 0;
-    for (auto& [descriptor, deadline] : connections_) {
-      if (!predicate(deadline))
+    for (auto& [descriptor, value] : connections_) {
+      if (!predicate(value))
         continue;
       shut_down_(descriptor);
-      deadline = std::nullopt;
+      value.deadline = std::nullopt;
       ++count;
     }
     return count;
   }
 
-  const std::function<void(int)> shut_down_;
+  const descriptor_action shut_down_;
   mutable std::mutex mutex_;
-  std::map<int, std::optional<time_point>> connections_;
+  descriptor_action end_idle_;
+  std::map<int, connection> connections_;
 };
 
 }  // namespace jasminepath::node
--- a/packages/node/src/http_server.cc
+++ b/packages/node/src/http_server.cc
@@ -128,6 +128,7 @@
   void run() override {
     Poco::Net::HTTPServerSession session(socket(), params_);
     while (session.hasMoreRequests()) {
+      state_.watchdog.OnArriving(descriptor_);
       try {
         ServeRequest(session);
       } catch (const Poco::Net::NoMessageException&) {
@@ -308,9 +309,12 @@
 void http_server::Stop(duration timeout) {
   BeginDrain();
   implementation_->StopListening();
-  implementation_->state.watchdog.ShutDownIdle();
+  connection_watchdog& watchdog = implementation_->state.watchdog;
+  // In this direction only: a request that has arrived is still answered, and
+  // one that comes later is reset unread.
+  watchdog.EndIdle([](int descriptor) { ::shutdown(descriptor, SHUT_RD); });
   const time_point deadline = boot_clock::now() + timeout;
-  while (implementation_->state.in_progress > 0 && boot_clock::now() < deadline)
+  while (watchdog.size() > 0 && boot_clock::now() < deadline)
     std::this_thread::sleep_for(kStopPollInterval);
 }
 
--- a/packages/node/src/http_server.h
+++ b/packages/node/src/http_server.h
@@ -74,8 +74,9 @@
   // connection serves one more request.
   void BeginDrain();
 
-  // Stops accepting connections, shuts down idle connections, and waits up to
-  // `timeout` for the requests in progress.
+  // Stops accepting connections, ends idle ones, and waits up to `timeout` for
+  // the others. A request that has begun to arrive is answered; one that
+  // crosses the end of an idle connection is either answered or not read.
   void Stop(duration timeout);
 
  private:
--- a/packages/node/tests/planned_stop_test.cc
+++ b/packages/node/tests/planned_stop_test.cc
@@ -1,11 +1,15 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
 
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <future>
 #include <memory>
+#include <mutex>
+#include <set>
 #include <string>
-#include <utility>
+#include <thread>
+#include <vector>
 
 #include "caller_connection.h"
 #include "http_server.h"
@@ -34,6 +38,13 @@
   std::string address() const { return server_->address(); }
   void FinishRequests() { finish_.set_value(); }
   void WaitForRequest() { begun_.get_future().wait(); }
+  // As at the end of the process.
+  void Destroy() { server_.reset(); }
+  // Whether a request for the path was read whole.
+  bool HasRead(const std::string& path) {
+    const std::lock_guard lock(mutex_);
+    return read_.contains(path);
+  }
 
  private:
   static http_server_settings MakeSettings() {
@@ -45,7 +56,11 @@
   void Handle(Poco::Net::HTTPServerRequest& request,
               Poco::Net::HTTPServerResponse& response) {
     caller_connection caller(request, response, request_id("r"));
-    const bool is_first = !std::exchange(has_begun_, true);
+    {
+      const std::lock_guard lock(mutex_);
+      read_.insert(request.getURI());
+    }
+    const bool is_first = !has_begun_.exchange(true);
     if (request.getURI() == "/stream") {
       caller.BeginStream(200, {});
       caller.WriteStream("data: 1\n\n");
@@ -60,7 +75,9 @@
       caller.SendAnswer(200, {}, "done");
   }
 
-  bool has_begun_ = false;
+  std::mutex mutex_;
+  std::set<std::string> read_;
+  std::atomic<bool> has_begun_ = false;
   std::promise<void> begun_;
   std::promise<void> finish_;
   const std::shared_future<void> finished_{finish_.get_future()};
@@ -71,6 +88,17 @@
   return text.find(part) != std::string::npos;
 }
 
+// Waits until the address takes no connection.
+void WaitUntilRefused(const std::string& address) {
+  try {
+    while (true) {
+      const raw_caller probe(address);
+      std::this_thread::yield();
+    }
+  } catch (const Poco::Exception&) {
+  }
+}
+
 BOOST_AUTO_TEST_CASE(AnswerDuringStopIsNotFollowedByUnannouncedClose) {
   stopping_server site;
   raw_caller caller(site.address());
@@ -111,5 +139,60 @@
   site.FinishRequests();
 }
 
+BOOST_AUTO_TEST_CASE(RequestWhoseHeadIsHalfThereWhenStopClosesIsAnswered) {
+  stopping_server site;
+  const std::string address = site.address();
+  site.FinishRequests();
+  raw_caller caller(address);
+  caller.Send(kRequest);
+  BOOST_REQUIRE(Contains(caller.ReadThrough("done"), "Keep-Alive"));
+  const std::string request = kRequest;
+  caller.Send(request.substr(0, 10));
+  std::thread stop([&site] {
+    site.server().Stop(Seconds(20));
+    site.Destroy();
+  });
+  WaitUntilRefused(address);
+  caller.Send(request.substr(10));
+  const std::string answer = caller.ReadAll();
+  stop.join();
+  BOOST_TEST(answer.ends_with("done"), answer);
+}
+
+BOOST_AUTO_TEST_CASE(RequestThatCrossesCloseIsAnsweredOrNotRead) {
+  constexpr int kRounds = 10;
+  constexpr int kCallers = 200;
+  for (int round = 0; round < kRounds; ++round) {
+    stopping_server site;
+    const std::string address = site.address();
+    site.FinishRequests();
+    std::vector<raw_caller> callers;
+    for (int i = 0; i < kCallers; ++i) {
+      callers.emplace_back(address);
+      callers.back().Send(kRequest);
+      callers.back().ReadThrough("done");
+    }
+    std::thread stop([&site] { site.server().Stop(Seconds(20)); });
+    WaitUntilRefused(address);
+    // From the last one, which is closed last.
+    for (int i = kCallers - 1; i >= 0; --i) {
+      try {
+        callers[i].Send("GET /" + std::to_string(i) +
+                        " HTTP/1.1\r\nHost: a\r\n\r\n");
+      } catch (const Poco::Exception&) {
+      }
+    }
+    stop.join();
+    site.Destroy();
+    int read_unanswered = 0;
+    for (int i = 0; i < kCallers; ++i) {
+      const bool is_answered = callers[i].ReadAll().ends_with("done");
+      if (!is_answered && site.HasRead("/" + std::to_string(i)))
+        ++read_unanswered;
+    }
+    BOOST_TEST(read_unanswered == 0);
+  }
+}
+
 }  // namespace
 }  // namespace jasminepath::node
