Own interface: a call that was never sent is refused as not run when the node ends

Seen by callers: a once-only call that was still waiting when its node ended got 500 with run=unknown, so it must not be repeated though it had not run; one that came while the node ended got "this node is busy". Cause: the worker's last refusal, and the one for all open calls at a second SIGTERM, said the same whether or not the call had been sent to an endpoint. Evidence: failed before: CallThatWasNeverSentIsRefusedAsNotRunWhenNodeEnds and AbortTellsWhichCallsWereNeverSent (run=unknown), CallAfterEndOfDecisionsIsRefusedAsStopping (code=queue_full). Works since a call counts as possibly run from its first dispatch on, or if it has an idempotency key, whose earlier call may have run (CallWithKeyOfAnEarlierCallIsNotRefusedAsNotRun).

--- a/packages/node/src/call_worker.cc
+++ b/packages/node/src/call_worker.cc
@@ -90,8 +90,12 @@
 void call_worker::Run() {
   node_event arrival = call_arrived{call_.arrival, channel_};
   if (!events_.TryPush(arrival)) {
-    caller_.SendRefusal(refusal{refusal_code::queue_full, run_state::not_run,
-                                "this node is busy; try again", Seconds(1)});
+    caller_.SendRefusal(
+        events_.closed()
+            ? refusal{refusal_code::shutting_down, run_state::not_run,
+                      "this node is stopping", Seconds(1)}
+            : refusal{refusal_code::queue_full, run_state::not_run,
+                      "this node is busy; try again", Seconds(1)});
     return;
   }
   ProcessCommands();
@@ -123,8 +127,20 @@
       return;
     command_deadline = boot_clock::now() + limits_.command_timeout;
   }
-  caller_.SendRefusal(refusal{refusal_code::internal_error, run_state::unknown,
-                              "the node lost track of the call", std::nullopt});
+  caller_.SendRefusal(MakeLostCallRefusal());
+}
+
+refusal call_worker::MakeLostCallRefusal() const {
+  if (!events_.closed()) {
+    return {refusal_code::internal_error, run_state::unknown,
+            "the node lost track of the call", std::nullopt};
+  }
+  // An earlier call with the same idempotency key may have run.
+  const bool may_have_run =
+      running_attempt_ > 0 || call_.arrival.idempotency_key.has_value();
+  return {refusal_code::shutting_down,
+          may_have_run ? run_state::unknown : run_state::not_run,
+          "the node was stopped while the call was open", std::nullopt};
 }
 
 bool call_worker::Execute(const run_attempt& command) {
--- a/packages/node/src/call_worker.h
+++ b/packages/node/src/call_worker.h
@@ -9,6 +9,7 @@
 #include "inbound_call.h"
 #include "jasminepath/base/boot_time.h"
 #include "jasminepath/base/ids.h"
+#include "jasminepath/base/refusal.h"
 #include "jasminepath/base/units.h"
 #include "jasminepath/endpoint/exchange.h"
 #include "node_event.h"
@@ -49,6 +50,7 @@
  private:
   void PostEvent(node_event event);
   void ProcessCommands();
+  refusal MakeLostCallRefusal() const;
   bool Execute(const run_attempt& command);
   bool Execute(const send_refusal& command);
   bool Execute(const send_recorded_answer& command);
--- a/packages/node/src/decision_state_calls.cc
+++ b/packages/node/src/decision_state_calls.cc
@@ -74,8 +74,10 @@
 
 void decision_state::OnEvent(call_arrived& event, time_point now) {
   call_registry_.Add(event.arrival.id, std::move(event.channel), now);
-  if (open_call* call = call_registry_.Find(event.arrival.id))
+  if (open_call* call = call_registry_.Find(event.arrival.id)) {
     call->route = RouteName(*configuration_, event.arrival.target);
+    call->may_have_run = event.arrival.idempotency_key.has_value();
+  }
   ApplyToCalls([&](auto& calls, auto& actions) {
     calls.OnArrival(std::move(event.arrival), now, actions);
   });
@@ -169,6 +171,7 @@
   call->service = action.service;
   call->should_record_answer = action.keep_answer;
   ++call->attempts;
+  call->may_have_run = true;
   run_attempt command;
   command.attempt = action.attempt;
   command.endpoint = action.endpoint;
--- a/packages/node/src/open_call_registry.cc
+++ b/packages/node/src/open_call_registry.cc
@@ -31,8 +31,11 @@
 
 void open_call_registry::AbortAll(const refusal& reason) {
   for (auto& [id, call] : calls_) {
+    send_refusal last{reason};
+    if (!call.may_have_run)
+      last.reason.run = run_state::not_run;
     call.channel->CancelAttempt();
-    call.channel->Send(send_refusal{reason});
+    call.channel->Send(std::move(last));
   }
   calls_.clear();
 }
--- a/packages/node/src/open_call_registry.h
+++ b/packages/node/src/open_call_registry.h
@@ -31,6 +31,9 @@
   // Whether the complete answer must be kept until it is recorded.
   bool should_record_answer = false;
   int64_t attempts = 0;
+  // Whether this call, or an earlier one with its idempotency key, may have run
+  // at an endpoint.
+  bool may_have_run = false;
 };
 
 // The open calls of this node's workers. Used by the decision thread only.
@@ -47,7 +50,8 @@
   // nullopt if the call has already ended.
   std::optional<open_call> End(const request_id& id, call_command last);
 
-  // Cancels running attempts and ends every call with the refusal.
+  // Cancels running attempts and ends every call with the refusal; its run
+  // state is `not_run` for calls that cannot have run.
   void AbortAll(const refusal& reason);
 
   std::size_t size() const { return calls_.size(); }
