Own interface: the decision thread's last command is awaited when it ends

Seen by callers: an answer, or a refusal with its reason, that was sent to the worker while the node ended could be replaced by 500 "the node lost track of the call". Cause: the worker gave up as soon as it saw the closed ring, which is closed before the last commands are sent. Evidence: AnswerThatIsSentToWorkerWhileNodeEndsReachesCaller failed before with that 500. Works since the worker waits for up to 1 s more, within the 2 s that the node gives its connections.

--- a/packages/node/src/call_worker.cc
+++ b/packages/node/src/call_worker.cc
@@ -15,6 +15,9 @@
 
 constexpr int kFirstServerErrorStatus = 500;
 constexpr duration kRingFullRetryInterval = Milliseconds(1);
+// The decision thread sends the last commands right after it has closed the
+// ring.
+constexpr duration kLastCommandTimeout = Seconds(1);
 
 using endpoint::exchange_failure;
 using endpoint::exchange_failure_kind;
@@ -114,7 +117,7 @@
 void call_worker::ProcessCommands() {
   time_point command_deadline = boot_clock::now() + limits_.command_timeout;
   while (boot_clock::now() < command_deadline) {
-    const auto command = channel_->Wait(limits_.caller_check_interval);
+    const auto command = WaitForCommand();
     if (!command && events_.closed())
       break;
     if (!command) {
@@ -130,6 +133,13 @@
   caller_.SendRefusal(MakeLostCallRefusal());
 }
 
+std::optional<call_command> call_worker::WaitForCommand() {
+  auto command = channel_->Wait(limits_.caller_check_interval);
+  if (!command && events_.closed())
+    return channel_->Wait(kLastCommandTimeout);
+  return command;
+}
+
 refusal call_worker::MakeLostCallRefusal() const {
   if (!events_.closed()) {
     return {refusal_code::internal_error, run_state::unknown,
--- a/packages/node/src/call_worker.h
+++ b/packages/node/src/call_worker.h
@@ -2,6 +2,7 @@
 #define JASMINEPATH_NODE_CALL_WORKER_H_
 
 #include <memory>
+#include <optional>
 
 #include "answer_relay.h"
 #include "call_channel.h"
@@ -50,6 +51,8 @@
  private:
   void PostEvent(node_event event);
   void ProcessCommands();
+  // The next command; after the end of the decision thread, its last one.
+  std::optional<call_command> WaitForCommand();
   refusal MakeLostCallRefusal() const;
   bool Execute(const run_attempt& command);
   bool Execute(const send_refusal& command);
--- a/packages/node/tests/call_worker_test.cc
+++ b/packages/node/tests/call_worker_test.cc
@@ -4,6 +4,7 @@
 #include <future>
 #include <memory>
 #include <string>
+#include <thread>
 #include <variant>
 
 #include "caller_connection.h"
@@ -11,6 +12,7 @@
 #include "inbound_call.h"
 #include "open_call_registry.h"
 #include "raw_caller.h"
+#include "recorded_answer.h"
 
 namespace jasminepath::node {
 namespace {
@@ -95,6 +97,20 @@
   BOOST_TEST(Contains(answer, "\"code\":\"shutting_down\""), answer);
 }
 
+BOOST_AUTO_TEST_CASE(AnswerThatIsSentToWorkerWhileNodeEndsReachesCaller) {
+  worker_site site;
+  raw_caller caller(site.address());
+  caller.Send(kRequest);
+  const call_arrived call = site.WaitForCall();
+  site.events().Close();
+  // Many times the interval at which the worker looks.
+  std::this_thread::sleep_for(Milliseconds(50));
+  call.channel->Send(
+      send_recorded_answer{EncodeRecordedAnswer({201, {}, "made"})});
+  const std::string answer = caller.ReadAll();
+  BOOST_TEST(answer.ends_with("made"), answer);
+}
+
 BOOST_AUTO_TEST_CASE(AbortTellsWhichCallsWereNeverSent) {
   open_call_registry calls;
   const auto fresh = std::make_shared<call_channel>();
