Own interface: a planned stop lets slow callers take answers that are complete

Seen by callers: a call that was accepted before the stop and answered in full was cut in its body when its caller took it slowly. Cause: an answer of up to 4 MB counts as ended once it is handed to its worker, so that the stop went on to its end, where connections had 2 s before they were shut down; no line named the call. Works since a completed stop gives its connections 30 s, as long as one write may take; idle ones close at once, and a second SIGTERM ends the wait.

--- a/packages/node/src/http_server.cc
+++ b/packages/node/src/http_server.cc
@@ -23,6 +23,7 @@
 
 #include <atomic>
 #include <cstddef>
+#include <functional>
 #include <ostream>
 #include <string>
 #include <thread>
@@ -306,7 +307,8 @@
   implementation_->state.is_stopping = true;
 }
 
-void http_server::Stop(duration timeout) {
+void http_server::Stop(duration timeout,
+                       const std::function<bool()>& is_cut_short) {
   BeginDrain();
   implementation_->StopListening();
   connection_watchdog& watchdog = implementation_->state.watchdog;
@@ -314,7 +316,7 @@
   // one that comes later is reset unread.
   watchdog.EndIdle([](int descriptor) { ::shutdown(descriptor, SHUT_RD); });
   const time_point deadline = boot_clock::now() + timeout;
-  while (watchdog.size() > 0 && boot_clock::now() < deadline)
+  while (watchdog.size() > 0 && !is_cut_short() && boot_clock::now() < deadline)
     std::this_thread::sleep_for(kStopPollInterval);
 }
 
--- a/packages/node/src/http_server.h
+++ b/packages/node/src/http_server.h
@@ -77,7 +77,8 @@
   // Stops accepting connections, ends idle ones, and waits up to `timeout` for
   // the others. A request that has begun to arrive is answered; one that
   // crosses the end of an idle connection is either answered or not read.
-  void Stop(duration timeout);
+  // The wait ends early once `is_cut_short` returns true.
+  void Stop(duration timeout, const std::function<bool()>& is_cut_short);
 
  private:
   struct implementation;
--- a/packages/node/src/node_app.cc
+++ b/packages/node/src/node_app.cc
@@ -35,7 +35,10 @@
 constexpr duration kOrderTimeout = Seconds(2);
 constexpr duration kRingFullRetryInterval = Milliseconds(1);
 constexpr duration kMeshPollInterval = Milliseconds(500);
+// How long the callers of a node that was stopped at once, and of one that has
+// finished a planned stop, have to take their answers.
 constexpr duration kCloseTimeout = Seconds(2);
+constexpr duration kDrainedCloseTimeout = Seconds(30);
 constexpr int64_t kMaxAdminConnections = 64;
 constexpr std::size_t kInstanceSuffixBytes = 6;
 // Descriptors for everything except callers' connections.
@@ -142,7 +145,9 @@
 
   run_end Run() {
     const loop_end end = loop_->Run();
-    caller_server_->Stop(kCloseTimeout);
+    const bool is_planned = end == loop_end::drained;
+    caller_server_->Stop(is_planned ? kDrainedCloseTimeout : kCloseTimeout,
+                         [&] { return is_planned && is_end_requested_; });
     log_.Write(log_level::info, "node_stopped",
                {{"end", static_cast<int64_t>(end)}});
     switch (end) {
@@ -161,6 +166,7 @@
 
   void RequestStop() {
     if (is_stop_requested_.exchange(true)) {
+      is_end_requested_ = true;
       loop_->Stop();
       return;
     }
@@ -271,6 +277,8 @@
   platform_throttle throttle_;
   node_metrics metrics_;
   std::atomic<bool> is_stop_requested_{false};
+  // Set by a second request.
+  std::atomic<bool> is_end_requested_{false};
   // These members are destroyed in reverse order of declaration.
   std::optional<mesh::link_set> links_;
   std::optional<platform_gateway> platform_;
--- a/packages/node/tests/planned_stop_test.cc
+++ b/packages/node/tests/planned_stop_test.cc
@@ -38,6 +38,9 @@
   std::string address() const { return server_->address(); }
   void FinishRequests() { finish_.set_value(); }
   void WaitForRequest() { begun_.get_future().wait(); }
+  void Stop(duration timeout) {
+    server_->Stop(timeout, [] { return false; });
+  }
   // As at the end of the process.
   void Destroy() { server_.reset(); }
   // Whether a request for the path was read whole.
@@ -134,7 +137,7 @@
   caller.Send(kRequest);
   site.WaitForRequest();
   const std::string address = site.address();
-  site.server().Stop(Seconds(0));
+  site.Stop(Seconds(0));
   BOOST_CHECK_THROW(raw_caller late(address), Poco::Exception);
   site.FinishRequests();
 }
@@ -149,7 +152,7 @@
   const std::string request = kRequest;
   caller.Send(request.substr(0, 10));
   std::thread stop([&site] {
-    site.server().Stop(Seconds(20));
+    site.Stop(Seconds(20));
     site.Destroy();
   });
   WaitUntilRefused(address);
@@ -172,7 +175,7 @@
       callers.back().Send(kRequest);
       callers.back().ReadThrough("done");
     }
-    std::thread stop([&site] { site.server().Stop(Seconds(20)); });
+    std::thread stop([&site] { site.Stop(Seconds(20)); });
     WaitUntilRefused(address);
     // From the last one, which is closed last.
     for (int i = kCallers - 1; i >= 0; --i) {
--- a/packages/node/tests/raw_caller.h
+++ b/packages/node/tests/raw_caller.h
@@ -13,9 +13,13 @@
 // A test's caller that keeps its connection and sees each byte of it.
 class raw_caller {
  public:
-  // Throws Poco::Exception if it cannot connect.
-  explicit raw_caller(const std::string& address)
-      : socket_(Poco::Net::SocketAddress(address)) {
+  // Throws Poco::Exception if it cannot connect. A receive buffer of 0 bytes
+  // has the system's size.
+  explicit raw_caller(const std::string& address, int receive_buffer_bytes = 0)
+      : socket_(Poco::Net::SocketAddress::IPv4) {
+    if (receive_buffer_bytes > 0)
+      socket_.setReceiveBufferSize(receive_buffer_bytes);
+    socket_.connect(Poco::Net::SocketAddress(address));
     socket_.setReceiveTimeout(Poco::Timespan(20, 0));
   }
 
