Own interface: a log line names each call that the node cuts

Seen by on-call: a caller's cut answer had no line with its cause; a second SIGTERM logged a count, and connections that were shut down with the process logged nothing. Evidence: CallsThatAreCutWhenNodeEndsAreNamedInLog failed before in its three checks: the log had "calls_cut open_calls=1" alone, and "outcome=served" for the call whose answer was cut. Works since the requests being handled are listed and named before their connections are shut down, and each worker that ends a begun answer with a refusal names its cause unless the caller had left; calls ended by a second SIGTERM get their call_ended line, which has the route now.

--- a/packages/node/src/caller_api.cc
+++ b/packages/node/src/caller_api.cc
@@ -44,18 +44,22 @@
                        const worker_limits& worker,
                        node_event_ring& events,
                        const node_view& view,
+                       report::event_log& log,
                        std::function<std::string()> metrics)
     : self_(std::move(self)),
       inbound_(inbound),
       worker_(worker),
       events_(events),
       view_(view),
+      log_(log),
       metrics_(std::move(metrics)) {}
 
 void caller_api::Handle(Poco::Net::HTTPServerRequest& request,
                         Poco::Net::HTTPServerResponse& response) {
   const request_id id = NextId();
   caller_connection caller(request, response, id);
+  const time_point arrived = boot_clock::now();
+  const open_request_list::entry entry(open_requests_, caller, arrived);
   if (HandlePage(request, caller))
     return;
   auto call = ReadInboundCall(request, id, inbound_);
@@ -67,6 +71,23 @@
   }
   call_worker worker(std::move(call.value()), caller, events_, worker_);
   worker.Run();
+  if (const auto& cause = caller.cut_cause())
+    LogCut({id, arrived, true}, ToString(*cause));
+}
+
+void caller_api::LogOpenRequestsAsCut() const {
+  for (const open_request& request : open_requests_.List())
+    LogCut(request, "node_ended");
+}
+
+void caller_api::LogCut(const open_request& request,
+                        std::string_view cause) const {
+  log_.Write(report::log_level::warning, "call_cut",
+             {{"request", request.id.value()},
+              {"cause", cause},
+              {"answer_began", static_cast<int64_t>(request.has_answer_begun)},
+              {"stopping", static_cast<int64_t>(view_.is_draining())},
+              {"age_ms", ToMilliseconds(boot_clock::now() - request.arrived)}});
 }
 
 void caller_api::Refuse(Poco::Net::HTTPServerRequest& request,
--- a/packages/node/src/caller_connection.cc
+++ b/packages/node/src/caller_connection.cc
@@ -63,6 +63,8 @@
 
 bool caller_connection::SendRefusal(const refusal& reason) {
   if (has_started_) {
+    if (!IsCallerGone())
+      cut_cause_ = reason.code;
     const bool is_written =
         stream_ != nullptr && WriteStream(RefusalEvent(reason, call_.value()));
     Abort();
--- a/packages/node/src/caller_connection.h
+++ b/packages/node/src/caller_connection.h
@@ -1,6 +1,8 @@
 #ifndef JASMINEPATH_NODE_CALLER_CONNECTION_H_
 #define JASMINEPATH_NODE_CALLER_CONNECTION_H_
 
+#include <atomic>
+#include <optional>
 #include <ostream>
 #include <string>
 #include <string_view>
@@ -28,9 +30,15 @@
                     Poco::Net::HTTPServerResponse& response,
                     request_id call);
 
-  // Whether writing of an answer has started.
+  const request_id& id() const { return call_; }
+
+  // Whether writing of an answer has started. Any thread may ask.
   bool has_started() const { return has_started_; }
 
+  // The reason why an answer that had started was aborted, unless the caller
+  // had disconnected before.
+  const std::optional<refusal_code>& cut_cause() const { return cut_cause_; }
+
   // Whether the caller has closed its side of the connection.
   bool IsCallerGone() const;
 
@@ -63,7 +71,8 @@
   Poco::Net::HTTPServerResponse& response_;
   const request_id call_;
   std::ostream* stream_ = nullptr;
-  bool has_started_ = false;
+  std::atomic<bool> has_started_ = false;
+  std::optional<refusal_code> cut_cause_;
 };
 
 }  // namespace jasminepath::node
--- a/packages/node/src/decision_state.cc
+++ b/packages/node/src/decision_state.cc
@@ -80,6 +80,10 @@
   dependencies_.log.Write(
       log_level::warning, "calls_cut",
       {{"open_calls", static_cast<int64_t>(call_registry_.size())}});
+  const time_point now = boot_clock::now();
+  call_registry_.ForEach([&](const request_id& id, const open_call& call) {
+    LogCallEnd(id, call, ToString(refusal_code::shutting_down), now);
+  });
   call_registry_.AbortAll(
       refusal{refusal_code::shutting_down, run_state::unknown,
               "the node was stopped while the call was open", std::nullopt});
--- a/packages/node/src/decision_state.h
+++ b/packages/node/src/decision_state.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -167,6 +168,10 @@
                call_command last,
                std::optional<refusal_code> refused,
                time_point now);
+  void LogCallEnd(const request_id& id,
+                  const open_call& call,
+                  std::string_view outcome,
+                  time_point now) const;
   void UpdatePlacementDemand(time_point now);
   void SaveWindows(time_point now);
   void AdvanceDrain(time_point now);
--- a/packages/node/src/decision_state_calls.cc
+++ b/packages/node/src/decision_state_calls.cc
@@ -121,6 +121,20 @@
   });
 }
 
+void decision_state::LogCallEnd(const request_id& id,
+                                const open_call& call,
+                                std::string_view outcome,
+                                time_point now) const {
+  dependencies_.log.Write(log_level::info, "call_ended",
+                          {{"request", id.value()},
+                           {"team", call.team.value()},
+                           {"service", call.service.value()},
+                           {"route", call.route},
+                           {"outcome", outcome},
+                           {"attempts", call.attempts},
+                           {"total_ms", ToMilliseconds(now - call.arrived)}});
+}
+
 void decision_state::EndCall(const request_id& id,
                              call_command last,
                              std::optional<refusal_code> refused,
@@ -136,14 +150,7 @@
   outcome.total = now - call->arrived;
   if (call->first_byte)
     outcome.first_byte = *call->first_byte - call->arrived;
-  dependencies_.log.Write(
-      log_level::info, "call_ended",
-      {{"request", id.value()},
-       {"team", call->team.value()},
-       {"service", call->service.value()},
-       {"outcome", refused ? ToString(*refused) : std::string_view("served")},
-       {"attempts", call->attempts},
-       {"total_ms", ToMilliseconds(outcome.total)}});
+  LogCallEnd(id, *call, refused ? ToString(*refused) : "served", now);
   dependencies_.metrics.Record(outcome);
 }
 
--- a/packages/node/src/node_app.cc
+++ b/packages/node/src/node_app.cc
@@ -148,6 +148,7 @@
     const bool is_planned = end == loop_end::drained;
     caller_server_->Stop(is_planned ? kDrainedCloseTimeout : kCloseTimeout,
                          [&] { return is_planned && is_end_requested_; });
+    caller_api_->LogOpenRequestsAsCut();
     log_.Write(log_level::info, "node_stopped",
                {{"end", static_cast<int64_t>(end)}});
     switch (end) {
@@ -206,7 +207,7 @@
 
   void StartServers() {
     caller_api_.emplace(self_id_, MakeInboundLimits(settings_.limits),
-                        worker_limits{}, events_, view_,
+                        worker_limits{}, events_, view_, log_,
                         [this] { return metrics_.MetricsPage(); });
     caller_server_.emplace(
         CallerServerSettings(settings_),
--- a/packages/node/src/open_call_registry.h
+++ b/packages/node/src/open_call_registry.h
@@ -50,6 +50,13 @@
   // nullopt if the call has already ended.
   std::optional<open_call> End(const request_id& id, call_command last);
 
+  // Calls `visit` with the id and the state of each call.
+  template <typename Visitor>
+  void ForEach(Visitor visit) const {
+    for (const auto& [id, call] : calls_)
+      visit(id, call);
+  }
+
   // Cancels running attempts and ends every call with the refusal; its run
   // state is `not_run` for calls that cannot have run.
   void AbortAll(const refusal& reason);
--- a/packages/node/tests/node_stop_test.cc
+++ b/packages/node/tests/node_stop_test.cc
@@ -1,9 +1,13 @@
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/TemporaryFile.h>
 
 #include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <iterator>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 
 #include "http_server.h"
@@ -72,5 +76,58 @@
   BOOST_TEST(body.size() == kLargeAnswerBytes);
 }
 
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+bool Contains(const std::string& text, const std::string& part) {
+  return text.find(part) != std::string::npos;
+}
+
+std::string RequestIdIn(const std::string& head) {
+  constexpr std::string_view kName = "X-Request-Id: ";
+  const std::size_t begin = head.find(kName) + kName.size();
+  return head.substr(begin, head.find('\r', begin) - begin);
+}
+
+BOOST_AUTO_TEST_CASE(CallsThatAreCutWhenNodeEndsAreNamedInLog) {
+  large_answer_site large;
+  const std::string key = large.site().IssueKey("beads");
+  const Poco::TemporaryFile log;
+  config::node_settings settings = large.site().Settings("node-0");
+  settings.log_file = log.path();
+  settings.level = config::log_level::info;
+  auto node = std::make_unique<running_node>(settings);
+  BOOST_REQUIRE(WaitUntilReady(node->caller_address(), key));
+  raw_caller slow(node->caller_address(), kReceiveBufferBytes);
+  slow.Send(StockRequest(key));
+  const std::string slow_head = slow.ReadThrough(kEndOfHead);
+  raw_caller streaming(node->caller_address());
+  const std::string body =
+      R"({"model":"knots","max_tokens":4000,"stream":true,)"
+      R"("messages":[{"role":"user","content":"long"}]})";
+  streaming.Send(
+      "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nX-Api-Key: " + key +
+      "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+  const std::string stream_head = streaming.ReadThrough(kEndOfHead);
+  node->RequestStop();
+  BOOST_TEST((node->Stop() == run_end::aborted));
+  node.reset();
+  const std::string lines = ReadFile(log.path());
+  BOOST_TEST(
+      Contains(lines, "event=call_cut request=" + RequestIdIn(slow_head) +
+                          " cause=node_ended answer_began=1 stopping=1"),
+      lines);
+  const std::string stream = RequestIdIn(stream_head);
+  BOOST_TEST(Contains(lines, "event=call_cut request=" + stream +
+                                 " cause=shutting_down answer_began=1"),
+             lines);
+  BOOST_TEST(Contains(lines, "event=call_ended request=" + stream +
+                                 " team=beads service=assistant route=knots "
+                                 "outcome=shutting_down"),
+             lines);
+}
+
 }  // namespace
 }  // namespace jasminepath::node
