--- a/packages/node/src/call_worker.cc
+++ b/packages/node/src/call_worker.cc
@@ -15,6 +15,9 @@
 
 constexpr int kFirstServerErrorStatus = 500;
 constexpr duration kRingFullRetryInterval = Milliseconds(1);
+// The decision thread sends the last commands right after it has closed the
+// ring.
+constexpr duration kLastCommandTimeout = Seconds(1);
 
 using endpoint::exchange_failure;
 using endpoint::exchange_failure_kind;
@@ -90,8 +93,12 @@
 void call_worker::Run() {
   node_event arrival = call_arrived{call_.arrival, channel_};
   if (!events_.TryPush(arrival)) {
-    caller_.SendRefusal(refusal{refusal_code::queue_full, run_state::not_run,
-                                "this node is busy; try again", Seconds(1)});
+    caller_.SendRefusal(
+        events_.closed()
+            ? refusal{refusal_code::shutting_down, run_state::not_run,
+                      "this node is stopping", Seconds(1)}
+            : refusal{refusal_code::queue_full, run_state::not_run,
+                      "this node is busy; try again", Seconds(1)});
     return;
   }
   ProcessCommands();
@@ -110,7 +117,7 @@
 void call_worker::ProcessCommands() {
   time_point command_deadline = boot_clock::now() + limits_.command_timeout;
   while (boot_clock::now() < command_deadline) {
-    const auto command = channel_->Wait(limits_.caller_check_interval);
+    const auto command = WaitForCommand();
     if (!command && events_.closed())
       break;
     if (!command) {
@@ -123,8 +130,27 @@
       return;
     command_deadline = boot_clock::now() + limits_.command_timeout;
   }
-  caller_.SendRefusal(refusal{refusal_code::internal_error, run_state::unknown,
-                              "the node lost track of the call", std::nullopt});
+  caller_.SendRefusal(MakeLostCallRefusal());
+}
+
+std::optional<call_command> call_worker::WaitForCommand() {
+  auto command = channel_->Wait(limits_.caller_check_interval);
+  if (!command && events_.closed())
+    return channel_->Wait(kLastCommandTimeout);
+  return command;
+}
+
+refusal call_worker::MakeLostCallRefusal() const {
+  if (!events_.closed()) {
+    return {refusal_code::internal_error, run_state::unknown,
+            "the node lost track of the call", std::nullopt};
+  }
+  // An earlier call with the same idempotency key may have run.
+  const bool may_have_run =
+      running_attempt_ > 0 || call_.arrival.idempotency_key.has_value();
+  return {refusal_code::shutting_down,
+          may_have_run ? run_state::unknown : run_state::not_run,
+          "the node was stopped while the call was open", std::nullopt};
 }
 
 bool call_worker::Execute(const run_attempt& command) {
--- a/packages/node/src/decision_state_calls.cc
+++ b/packages/node/src/decision_state_calls.cc
@@ -74,8 +74,10 @@
 
 void decision_state::OnEvent(call_arrived& event, time_point now) {
   call_registry_.Add(event.arrival.id, std::move(event.channel), now);
-  if (open_call* call = call_registry_.Find(event.arrival.id))
+  if (open_call* call = call_registry_.Find(event.arrival.id)) {
     call->route = RouteName(*configuration_, event.arrival.target);
+    call->may_have_run = event.arrival.idempotency_key.has_value();
+  }
   ApplyToCalls([&](auto& calls, auto& actions) {
     calls.OnArrival(std::move(event.arrival), now, actions);
   });
@@ -119,6 +121,20 @@
   });
 }
 
+void decision_state::LogCallEnd(const request_id& id,
+                                const open_call& call,
+                                std::string_view outcome,
+                                time_point now) const {
+  dependencies_.log.Write(log_level::info, "call_ended",
+                          {{"request", id.value()},
+                           {"team", call.team.value()},
+                           {"service", call.service.value()},
+                           {"route", call.route},
+                           {"outcome", outcome},
+                           {"attempts", call.attempts},
+                           {"total_ms", ToMilliseconds(now - call.arrived)}});
+}
+
 void decision_state::EndCall(const request_id& id,
                              call_command last,
                              std::optional<refusal_code> refused,
@@ -134,14 +150,7 @@
   outcome.total = now - call->arrived;
   if (call->first_byte)
     outcome.first_byte = *call->first_byte - call->arrived;
-  dependencies_.log.Write(
-      log_level::info, "call_ended",
-      {{"request", id.value()},
-       {"team", call->team.value()},
-       {"service", call->service.value()},
-       {"outcome", refused ? ToString(*refused) : std::string_view("served")},
-       {"attempts", call->attempts},
-       {"total_ms", ToMilliseconds(outcome.total)}});
+  LogCallEnd(id, *call, refused ? ToString(*refused) : "served", now);
   dependencies_.metrics.Record(outcome);
 }
 
@@ -169,6 +178,7 @@
   call->service = action.service;
   call->should_record_answer = action.keep_answer;
   ++call->attempts;
+  call->may_have_run = true;
   run_attempt command;
   command.attempt = action.attempt;
   command.endpoint = action.endpoint;
--- a/packages/node/src/http_server.cc
+++ b/packages/node/src/http_server.cc
@@ -2,22 +2,31 @@
 
 #include <Poco/Exception.h>
 #include <Poco/Net/Context.h>
-#include <Poco/Net/HTTPRequestHandler.h>
-#include <Poco/Net/HTTPRequestHandlerFactory.h>
-#include <Poco/Net/HTTPServerConnection.h>
+#include <Poco/Net/HTTPMessage.h>
+#include <Poco/Net/HTTPRequest.h>
+#include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/HTTPServerParams.h>
 #include <Poco/Net/HTTPServerRequest.h>
 #include <Poco/Net/HTTPServerRequestImpl.h>
 #include <Poco/Net/HTTPServerResponse.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/SecureServerSocket.h>
 #include <Poco/Net/ServerSocket.h>
 #include <Poco/Net/SocketAddress.h>
 #include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerConnection.h>
 #include <Poco/Net/TCPServerConnectionFactory.h>
 #include <Poco/ThreadPool.h>
+#include <Poco/Timestamp.h>
 #include <sys/socket.h>
 
 #include <atomic>
+#include <cstddef>
+#include <functional>
+#include <ostream>
+#include <string>
 #include <thread>
 #include <utility>
 
@@ -74,68 +83,53 @@
   connection_watchdog watchdog;
   std::atomic<int64_t> in_progress{0};
   std::atomic<bool> is_stopping{false};
+  // Whether connections end for reading because this node ends them.
+  std::atomic<bool> is_ending_idle{false};
 };
 
-class request_handler : public Poco::Net::HTTPRequestHandler {
+// Tells whether bytes of the caller wait to be parsed.
+class readable_session : public Poco::Net::HTTPServerSession {
  public:
-  explicit request_handler(server_state& state) : state_(state) {}
+  using HTTPServerSession::HTTPServerSession;
 
-  void handleRequest(Poco::Net::HTTPServerRequest& request,
-                     Poco::Net::HTTPServerResponse& response) override {
-    const int descriptor = DescriptorOf(request);
-    state_.watchdog.OnRequest(descriptor);
-    const in_progress_counter count(state_.in_progress);
-    if (IsOverloaded()) {
-      response.setKeepAlive(false);
-      state_.refuse(request, response);
-    } else {
-      state_.handle(request, response);
-    }
-    if (state_.is_stopping)
-      response.setKeepAlive(false);
-    state_.watchdog.OnWaiting(
-        descriptor,
-        boot_clock::now() + state_.idle_timeout + state_.header_timeout);
-  }
-
- private:
-  bool IsOverloaded() const {
-    return state_.in_progress > state_.max_requests ||
-           static_cast<int64_t>(state_.watchdog.size()) >
-               state_.max_connections;
-  }
-
-  static int DescriptorOf(Poco::Net::HTTPServerRequest& request) {
-    return static_cast<Poco::Net::HTTPServerRequestImpl&>(request)
-        .socket()
-        .impl()
-        ->sockfd();
-  }
-
-  server_state& state_;
+  bool HasBufferedBytes() const { return buffered() > 0; }
 };
 
-class handler_factory : public Poco::Net::HTTPRequestHandlerFactory {
+// Announces in the head of each answer whether the connection closes after it.
+class announced_response : public Poco::Net::HTTPServerResponseImpl {
  public:
-  explicit handler_factory(server_state& state) : state_(state) {}
+  announced_response(Poco::Net::HTTPServerSession& session,
+                     const server_state& state)
+      : HTTPServerResponseImpl(session), state_(state) {}
 
-  Poco::Net::HTTPRequestHandler* createRequestHandler(
-      const Poco::Net::HTTPServerRequest&) override {
-    return new request_handler(state_);
+  std::ostream& send() override {
+    AnnounceClose();
+    return HTTPServerResponseImpl::send();
+  }
+
+  void sendBuffer(const void* data, std::size_t size) override {
+    AnnounceClose();
+    HTTPServerResponseImpl::sendBuffer(data, size);
   }
 
  private:
-  server_state& state_;
+  void AnnounceClose() {
+    if (state_.is_stopping)
+      setKeepAlive(false);
+  }
+
+  const server_state& state_;
 };
 
-// A connection that is registered with the watchdog while it is open.
-class watched_connection : public Poco::Net::HTTPServerConnection {
+// A connection that is registered with the watchdog while it is open. It closes
+// after an answer only if the head of that answer has said so.
+class watched_connection : public Poco::Net::TCPServerConnection {
  public:
   watched_connection(const Poco::Net::StreamSocket& socket,
-                     const Poco::Net::HTTPServerParams::Ptr& params,
-                     const Poco::Net::HTTPRequestHandlerFactory::Ptr& factory,
+                     Poco::Net::HTTPServerParams::Ptr params,
                      server_state& state)
-      : HTTPServerConnection(socket, params, factory),
+      : TCPServerConnection(socket),
+        params_(std::move(params)),
         state_(state),
         descriptor_(socket.impl()->sockfd()) {
     state_.watchdog.OnWaiting(descriptor_,
@@ -143,7 +137,79 @@
   }
   ~watched_connection() override { state_.watchdog.OnClosed(descriptor_); }
 
+  void run() override {
+    readable_session session(socket(), params_);
+    while (session.hasMoreRequests()) {
+      state_.watchdog.OnArriving(descriptor_);
+      try {
+        ServeRequest(session);
+      } catch (const Poco::Net::NoMessageException&) {
+        return;
+      } catch (const Poco::Net::MessageException&) {
+        SendError(session, Poco::Net::HTTPResponse::HTTP_BAD_REQUEST);
+      }
+    }
+  }
+
  private:
+  void ServeRequest(readable_session& session) {
+    announced_response response(session, state_);
+    // Reads the head.
+    Poco::Net::HTTPServerRequestImpl request(response, session, params_.get());
+    if (IsBrokenOff(session, request))
+      throw Poco::Net::NoMessageException();
+    response.setDate(Poco::Timestamp());
+    response.setVersion(request.getVersion());
+    response.setKeepAlive(request.getKeepAlive() && session.canKeepAlive());
+    if (request.getExpectContinue())
+      response.sendContinue();
+    Handle(request, response);
+    session.setKeepAlive(response.getKeepAlive());
+  }
+
+  void Handle(Poco::Net::HTTPServerRequest& request,
+              Poco::Net::HTTPServerResponse& response) {
+    state_.watchdog.OnRequest(descriptor_);
+    const in_progress_counter count(state_.in_progress);
+    if (IsOverloaded()) {
+      response.setKeepAlive(false);
+      state_.refuse(request, response);
+    } else {
+      state_.handle(request, response);
+    }
+    state_.watchdog.OnWaiting(
+        descriptor_,
+        boot_clock::now() + state_.idle_timeout + state_.header_timeout);
+  }
+
+  // Whether the caller has closed its side after the head. POCO takes a head
+  // that broke off for a whole one, without the fields that are missing.
+  bool IsBrokenOff(const readable_session& session,
+                   const Poco::Net::HTTPServerRequest& request) const {
+    if (request.getMethod() == Poco::Net::HTTPRequest::HTTP_GET ||
+        session.HasBufferedBytes() || state_.is_ending_idle)
+      return false;
+    char byte = 0;
+    return recv(descriptor_, &byte, sizeof(byte), MSG_PEEK | MSG_DONTWAIT) == 0;
+  }
+
+  bool IsOverloaded() const {
+    return state_.in_progress > state_.max_requests ||
+           static_cast<int64_t>(state_.watchdog.size()) >
+               state_.max_connections;
+  }
+
+  static void SendError(Poco::Net::HTTPServerSession& session,
+                        Poco::Net::HTTPResponse::HTTPStatus status) {
+    Poco::Net::HTTPServerResponseImpl response(session);
+    response.setVersion(Poco::Net::HTTPMessage::HTTP_1_1);
+    response.setStatusAndReason(status);
+    response.setKeepAlive(false);
+    response.send();
+    session.setKeepAlive(false);
+  }
+
+  Poco::Net::HTTPServerParams::Ptr params_;
   server_state& state_;
   const int descriptor_;
 };
@@ -152,19 +218,16 @@
  public:
   connection_factory(server_state& state,
                      Poco::Net::HTTPServerParams::Ptr params)
-      : state_(state),
-        params_(std::move(params)),
-        handlers_(new handler_factory(state)) {}
+      : state_(state), params_(std::move(params)) {}
 
   Poco::Net::TCPServerConnection* createConnection(
       const Poco::Net::StreamSocket& socket) override {
-    return new watched_connection(socket, params_, handlers_, state_);
+    return new watched_connection(socket, params_, state_);
   }
 
  private:
   server_state& state_;
   const Poco::Net::HTTPServerParams::Ptr params_;
-  const Poco::Net::HTTPRequestHandlerFactory::Ptr handlers_;
 };
 
 Poco::Net::ServerSocket Listen(const http_server_settings& settings) {
@@ -210,14 +273,19 @@
              kThreadIdleSeconds,
              kThreadStackBytes),
         params(MakeParams(settings)),
-        server(new connection_factory(state, params),
-               pool,
-               Listen(settings),
-               params) {
+        listener(Listen(settings)),
+        address(listener.address().toString()),
+        server(new connection_factory(state, params), pool, listener, params) {
     server.start();
     watchdog_thread = std::thread([this] { MonitorConnections(); });
   }
 
+  // Callers are refused from then on; those that nobody has accepted are reset.
+  void StopListening() {
+    server.stop();
+    listener.close();
+  }
+
   void MonitorConnections() {
     while (!is_closing) {
       state.watchdog.ShutDownOverdue(boot_clock::now());
@@ -228,6 +296,9 @@
   server_state state;
   Poco::ThreadPool pool;
   Poco::Net::HTTPServerParams::Ptr params;
+  // Shares its descriptor with `server`, which never closes it.
+  Poco::Net::ServerSocket listener;
+  const std::string address;
   Poco::Net::TCPServer server;
   std::atomic<bool> is_closing{false};
   std::thread watchdog_thread;
@@ -249,7 +320,7 @@
 }
 
 std::string http_server::address() const {
-  return implementation_->server.socket().address().toString();
+  return implementation_->address;
 }
 
 int64_t http_server::connections() const {
@@ -260,12 +331,17 @@
   implementation_->state.is_stopping = true;
 }
 
-void http_server::Stop(duration timeout) {
+void http_server::Stop(duration timeout,
+                       const std::function<bool()>& is_cut_short) {
   BeginDrain();
-  implementation_->server.stop();
-  implementation_->state.watchdog.ShutDownIdle();
+  implementation_->StopListening();
+  connection_watchdog& watchdog = implementation_->state.watchdog;
+  implementation_->state.is_ending_idle = true;
+  // In this direction only: a request that has arrived is still answered, and
+  // one that comes later is reset unread.
+  watchdog.EndIdle([](int descriptor) { ::shutdown(descriptor, SHUT_RD); });
   const time_point deadline = boot_clock::now() + timeout;
-  while (implementation_->state.in_progress > 0 && boot_clock::now() < deadline)
+  while (watchdog.size() > 0 && !is_cut_short() && boot_clock::now() < deadline)
     std::this_thread::sleep_for(kStopPollInterval);
 }
 
--- a/packages/node/src/http_server.h
+++ b/packages/node/src/http_server.h
@@ -69,12 +69,16 @@
   // Number of open connections.
   int64_t connections() const;
 
-  // Disables keep-alive, so that connections close after their next answer.
+  // Lets each connection close after the next answer whose head is written from
+  // now on, and announces it there. After a stream that began before, a
+  // connection serves one more request.
   void BeginDrain();
 
-  // Stops accepting connections, shuts down idle connections, and waits up to
-  // `timeout` for the requests in progress.
-  void Stop(duration timeout);
+  // Stops accepting connections, ends idle ones, and waits up to `timeout` for
+  // the others. A request that has begun to arrive is answered; one that
+  // crosses the end of an idle connection is either answered or not read.
+  // The wait ends early once `is_cut_short` returns true.
+  void Stop(duration timeout, const std::function<bool()>& is_cut_short);
 
  private:
   struct implementation;
