Keep to a grace period that changes during a stop

Seen by callers: after a SIGHUP that shortened the grace during a stop, a call that was due a 504 got no answer; the exit closed its connection. Cause: the time by which calls must be answered was fixed when the stop began, but the exit follows the settings as reloaded. Change: a reload during a stop plans the stop anew and starts the timers of all open calls by it, as the stop signal does, so that answers and exit keep to the same grace period.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -202,7 +202,7 @@
     Dispatch();
 }
 
-void call_session::OnNodeStop() {
+void call_session::OnStopSchedule() {
   if (!ended_)
     StartDeadlineTimer();
 }
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -34,8 +34,9 @@
   // Retries the endpoint selection of a queued call after a change of state.
   void Wake();
 
-  // Ends the call in time if the node stops before the call's time limit.
-  void OnNodeStop();
+  // Ends the call in time if the node stops before the call's time limit. Runs
+  // whenever the schedule of the node's stop has changed.
+  void OnStopSchedule();
 
   // Logs that the caller gets no complete answer, and why.
   void LogCut(std::string_view cause) const;
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -213,6 +213,8 @@
   settings_.bounds = read.value().bounds;
   log_.Write(report::log_level::info, "reloaded",
              {{"lease_ms", ToMilliseconds(settings_.bounds.lease)}});
+  if (stopping_)
+    ScheduleStop();
 }
 
 void gateway_node::AcceptCall(http::request message,
@@ -634,18 +636,22 @@
   stop_began_ = boot_clock::now();
   log_.Write(report::log_level::info, "stopping",
              {{"busy", static_cast<int64_t>(caller_server_.busy_count())}});
-  context_.stop.Begin(
-      {stop_began_, stop_began_ + settings_.lame_duck,
-       stop_began_ + settings_.bounds.grace - kExitMargin - kAnswerFlushTime});
   order_dispatcher_.BeginStop(stop_began_);
   caller_server_.BeginDrain();
-  for (const auto& call : calls_.Calls())
-    call->OnNodeStop();
+  ScheduleStop();
   SendDigest();
-  queue_.WakeAll();
   ContinueStop();
 }
 
+void gateway_node::ScheduleStop() {
+  context_.stop.SetSchedule(
+      {stop_began_, stop_began_ + settings_.lame_duck,
+       stop_began_ + settings_.bounds.grace - kExitMargin - kAnswerFlushTime});
+  for (const auto& call : calls_.Calls())
+    call->OnStopSchedule();
+  queue_.WakeAll();
+}
+
 // Keeps serving until the load balancer sends no new connections and all
 // answers have ended, or until the grace period is nearly over.
 void gateway_node::ContinueStop() {
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -70,6 +70,9 @@
   void ApplyNotice(const load_notice& notice, time_point now);
   void WatchSignals();
   void Reload();
+  // Plans the stop by the present grace period and applies the plan to all
+  // calls.
+  void ScheduleStop();
   void ContinueStop();
   bool IsReady() const;
 
--- a/packages/gateway/src/stop_admission.h
+++ b/packages/gateway/src/stop_admission.h
@@ -21,8 +21,8 @@
   // Forgets routes that no longer exist.
   void SetRoutes(const std::vector<route>& routes);
 
-  // Starts the stop.
-  void Begin(const stop_schedule& schedule) { schedule_ = schedule; }
+  // Starts the stop, or changes its times.
+  void SetSchedule(const stop_schedule& schedule) { schedule_ = schedule; }
   const stop_schedule& schedule() const { return schedule_; }
   bool is_stopping() const { return schedule_ != stop_schedule{}; }
 
--- a/packages/gateway/tests/stop_admission_test.cc
+++ b/packages/gateway/tests/stop_admission_test.cc
@@ -15,7 +15,7 @@
   stop_admission subject;
   for (int i = 0; i < 40; ++i)
     subject.RecordAnswer("chat", Seconds(2));
-  subject.Begin({kStart, At(2600), At(7100)});
+  subject.SetSchedule({kStart, At(2600), At(7100)});
   return subject;
 }
 
