Count answers that did not come when a stopping node estimates a route

Seen by callers: an order on a route whose endpoints had become too slow was sent in the lame duck and got a 504 at the end of the grace, which nobody may repeat; a stream there would be cut. Cause: only answers of success entered the estimate of how long a route's answers take. Change: an attempt that ends without a complete answer counts with the time that it has taken, if that is more than the bound. A shorter time says nothing about the route, so it does not lower the estimate.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -61,6 +61,13 @@
   return status >= 200 && status < 300;
 }
 
+// Whether an endpoint may have worked on the call without completing an answer.
+bool IsMissingAnswer(decision::attempt_end end) {
+  return end != decision::attempt_end::answered &&
+         end != decision::attempt_end::refused &&
+         end != decision::attempt_end::connect_failed;
+}
+
 }  // namespace
 
 call_session::call_session(call_context& context,
@@ -470,8 +477,10 @@
   if (end != decision::attempt_end::answered)
     used_connections_.emplace_back(attempt_->endpoint->entry.id,
                                    attempt_->connection);
-  context_.endpoints.End(*attempt_->endpoint, NeededModel(), end,
-                         boot_clock::now());
+  const time_point now = boot_clock::now();
+  context_.endpoints.End(*attempt_->endpoint, NeededModel(), end, now);
+  if (IsMissingAnswer(end))
+    context_.stop.RecordMissingAnswer(route_->name, now - first_sent_at_);
   attempt_.reset();
   context_.queue.WakeAll();
 }
--- a/packages/gateway/src/stop_admission.cc
+++ b/packages/gateway/src/stop_admission.cc
@@ -11,6 +11,13 @@
     known->second = known->second.With(time);
 }
 
+void stop_admission::RecordMissingAnswer(const std::string& route,
+                                         duration time) {
+  const auto known = answer_times_.find(route);
+  if (known != answer_times_.end() && time > known->second.upper_bound())
+    known->second = known->second.With(time);
+}
+
 void stop_admission::SetRoutes(const std::vector<route>& routes) {
   std::unordered_set<std::string> names;
   for (const route& each : routes)
--- a/packages/gateway/src/stop_admission.h
+++ b/packages/gateway/src/stop_admission.h
@@ -18,6 +18,9 @@
  public:
   // Records how long the endpoints took for an answer on the route.
   void RecordAnswer(const std::string& route, duration time);
+  // Records that endpoints have worked for `time` on an answer that did not
+  // come or was not complete. Counts only if answers usually take less.
+  void RecordMissingAnswer(const std::string& route, duration time);
   // Forgets routes that no longer exist.
   void SetRoutes(const std::vector<route>& routes);
 
--- a/packages/gateway/tests/stop_admission_test.cc
+++ b/packages/gateway/tests/stop_admission_test.cc
@@ -48,6 +48,20 @@
   BOOST_TEST(subject.CanComplete("new", At(100), At(4100), At(100)));
 }
 
+BOOST_AUTO_TEST_CASE(AStoppingNodeRefusesCallsWhoseRouteHasBecomeTooSlow) {
+  stop_admission subject = StoppingNode();
+  subject.RecordMissingAnswer("chat", Seconds(12));
+  BOOST_TEST(!subject.CanComplete("chat", At(100), At(12100), At(100)));
+}
+
+BOOST_AUTO_TEST_CASE(AnAnswerThatIsGivenUpEarlyDoesNotShortenTheUsualTime) {
+  stop_admission subject = StoppingNode();
+  subject.RecordMissingAnswer("chat", Milliseconds(100));
+  subject.RecordMissingAnswer("new", Milliseconds(100));
+  BOOST_TEST(!subject.CanComplete("chat", At(2500), At(14500), At(5300)));
+  BOOST_TEST(!subject.CanComplete("new", At(100), At(12100), At(100)));
+}
+
 BOOST_AUTO_TEST_CASE(StopAdmissionForgetsRoutesThatNoLongerExist) {
   stop_admission subject = StoppingNode();
   subject.SetRoutes({});
