Judge a call by when the whole request had arrived in a stop

Seen by callers: a stream whose request began in the lame duck and whose body ended after it was sent to an endpoint on the usual time of its route, and was cut when the node ended. Cause: the admission took the time of the request's first byte for that of its arrival, so a slow body kept the rule for early calls. Change: the time at which the request was complete decides; its time limit still counts from the first byte.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -87,6 +87,7 @@
   const auto keep = keep_alive_;
   context_.calls.Add(*this);
   arrived_at_ = reply_->received_at();
+  received_whole_at_ = boot_clock::now();
   if (!site_)
     return Refuse(503, "no_configuration", kNoConfigurationRetryAfter);
   if (!Authorize())
@@ -238,7 +239,8 @@
 
 bool call_session::CanCompleteFrom(time_point start) const {
   return may_have_run_ || answer_started_ ||
-         context_.stop.CanComplete(route_->name, arrived_at_, deadline_, start);
+         context_.stop.CanComplete(route_->name, received_whole_at_, deadline_,
+                                   start);
 }
 
 void call_session::WaitForEndpoint(pick_miss miss) {
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -130,7 +130,9 @@
   std::vector<uint64_t> parts_;
   uint64_t affinity_ = 0;
   int64_t shared_tokens_ = 0;
+  // When the first byte of the request and the whole request had arrived.
   time_point arrived_at_{};
+  time_point received_whole_at_{};
   time_point deadline_{};
   time_point first_sent_at_{};
   http::timer deadline_timer_;
--- a/packages/gateway/src/stop_admission.h
+++ b/packages/gateway/src/stop_admission.h
@@ -30,9 +30,9 @@
   bool is_stopping() const { return schedule_ != stop_schedule{}; }
 
   // Whether a call that is sent to an endpoint at `now` can be completed before
-  // the process exits. A call that arrived while the load balancer might still
-  // choose this node needs the usual time of its route's answers; a later one
-  // must be certain to end.
+  // the process exits. A call that had arrived as a whole while the load
+  // balancer might still choose this node needs the usual time of its route's
+  // answers; a later one must be certain to end.
   bool CanComplete(const std::string& route,
                    time_point arrived_at,
                    time_point deadline,
