--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -74,6 +74,14 @@
          http::IsEqualIgnoringCase(MediaType(begun), MediaType(next));
 }
 
+// Whether an endpoint may have worked on the call without completing an
+// answer.
+bool IsMissingAnswer(decision::attempt_end end) {
+  return end != decision::attempt_end::answered &&
+         end != decision::attempt_end::refused &&
+         end != decision::attempt_end::connect_failed;
+}
+
 }  // namespace
 
 call_session::call_session(call_context& context,
@@ -93,6 +101,7 @@
   const auto keep = keep_alive_;
   context_.calls.Add(*this);
   arrived_at_ = reply_->received_at();
+  received_whole_at_ = boot_clock::now();
   if (!site_)
     return Refuse(503, "no_configuration", kNoConfigurationRetryAfter);
   if (!Authorize())
@@ -215,7 +224,7 @@
     Dispatch();
 }
 
-void call_session::OnNodeStop() {
+void call_session::OnStopSchedule() {
   if (!ended_)
     StartDeadlineTimer();
 }
@@ -244,7 +253,8 @@
 
 bool call_session::CanCompleteFrom(time_point start) const {
   return may_have_run_ || answer_started_ ||
-         context_.stop.CanComplete(route_->name, arrived_at_, deadline_, start);
+         context_.stop.CanComplete(route_->name, received_whole_at_, deadline_,
+                                   start);
 }
 
 void call_session::WaitForEndpoint(pick_miss miss) {
@@ -498,8 +508,10 @@
   if (end != decision::attempt_end::answered)
     used_connections_.emplace_back(attempt_->endpoint->entry.id,
                                    attempt_->connection);
-  context_.endpoints.End(*attempt_->endpoint, NeededModel(), end,
-                         boot_clock::now());
+  const time_point now = boot_clock::now();
+  context_.endpoints.End(*attempt_->endpoint, NeededModel(), end, now);
+  if (IsMissingAnswer(end))
+    context_.stop.RecordMissingAnswer(route_->name, now - first_sent_at_);
   attempt_.reset();
   context_.queue.WakeAll();
 }
--- a/packages/gateway/src/stop_admission.h
+++ b/packages/gateway/src/stop_admission.h
@@ -18,18 +18,21 @@
  public:
   // Records how long the endpoints took for an answer on the route.
   void RecordAnswer(const std::string& route, duration time);
+  // Records that endpoints have worked for `time` on an answer that did not
+  // come or was not complete. Counts only if answers usually take less.
+  void RecordMissingAnswer(const std::string& route, duration time);
   // Forgets routes that no longer exist.
   void SetRoutes(const std::vector<route>& routes);
 
-  // Starts the stop.
-  void Begin(const stop_schedule& schedule) { schedule_ = schedule; }
+  // Starts the stop, or changes its times.
+  void SetSchedule(const stop_schedule& schedule) { schedule_ = schedule; }
   const stop_schedule& schedule() const { return schedule_; }
   bool is_stopping() const { return schedule_ != stop_schedule{}; }
 
   // Whether a call that is sent to an endpoint at `now` can be completed before
-  // the process exits. A call that arrived while the load balancer might still
-  // choose this node needs the usual time of its route's answers; a later one
-  // must be certain to end.
+  // the process exits. A call that had arrived as a whole while the load
+  // balancer might still choose this node needs the usual time of its route's
+  // answers; a later one must be certain to end.
   bool CanComplete(const std::string& route,
                    time_point arrived_at,
                    time_point deadline,
