Serve repeatable calls of routes without answers in the lame duck

Seen by callers: a plain request that may be repeated was refused in the lame duck because the node had not yet answered one on its route: a new route, a rare one, or a node that has just started. Cause: a route without answers was taken to need its whole time limit. Change: such a call is expected to need its route's objective, as a first answer of that time would be. If it takes longer it gets a 504 in time, after which its caller may repeat it. Orders and streams on such routes are still refused.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -239,7 +239,7 @@
 
 bool call_session::CanCompleteFrom(time_point start) const {
   return may_have_run_ || answer_started_ ||
-         context_.stop.CanComplete(route_->name, received_whole_at_, deadline_,
+         context_.stop.CanComplete(*route_, received_whole_at_, deadline_,
                                    start);
 }
 
--- a/packages/gateway/src/stop_admission.cc
+++ b/packages/gateway/src/stop_admission.cc
@@ -27,7 +27,17 @@
   });
 }
 
-bool stop_admission::CanComplete(const std::string& route,
+std::optional<decision::answer_time_estimate> stop_admission::EstimateFor(
+    const route& route) const {
+  const auto known = answer_times_.find(route.name);
+  if (known != answer_times_.end())
+    return known->second;
+  if (route.kind == request_kind::idempotent)
+    return decision::answer_time_estimate(route.objective);
+  return std::nullopt;
+}
+
+bool stop_admission::CanComplete(const route& route,
                                  time_point arrived_at,
                                  time_point deadline,
                                  time_point now) const {
@@ -35,9 +45,8 @@
     return true;
   if (arrived_at > schedule_.last_connection_at)
     return false;
-  const auto known = answer_times_.find(route);
-  return known != answer_times_.end() &&
-         now + known->second.upper_bound() <= schedule_.ends_at;
+  const auto estimate = EstimateFor(route);
+  return estimate && now + estimate->upper_bound() <= schedule_.ends_at;
 }
 
 }  // namespace jasminepath::gateway
--- a/packages/gateway/src/stop_admission.h
+++ b/packages/gateway/src/stop_admission.h
@@ -2,6 +2,7 @@
 #define JASMINEPATH_GATEWAY_SRC_STOP_ADMISSION_H_
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,13 +33,18 @@
   // Whether a call that is sent to an endpoint at `now` can be completed before
   // the process exits. A call that had arrived as a whole while the load
   // balancer might still choose this node needs the usual time of its route's
-  // answers; a later one must be certain to end.
-  bool CanComplete(const std::string& route,
+  // answers; a later one must be certain to end. Where no answer is known, a
+  // repeatable plain call is expected to need its objective, and any other one
+  // its time limit.
+  bool CanComplete(const route& route,
                    time_point arrived_at,
                    time_point deadline,
                    time_point now) const;
 
  private:
+  std::optional<decision::answer_time_estimate> EstimateFor(
+      const route& route) const;
+
   stop_schedule schedule_;
   std::map<std::string, decision::answer_time_estimate> answer_times_;
 };
