Own interface: no error event in an answer that isn't a stream of events

Seen: a plain answer beyond the buffer's limit, or an error of that size, was relayed as it arrived and broke off.

Cause: SendRefusal wrote the error event into any answer that had begun.

The relay now says whether it relays whole events; other answers are aborted with nothing more.

--- a/packages/node/src/answer_relay.cc
+++ b/packages/node/src/answer_relay.cc
@@ -82,7 +82,7 @@
   if (is_relaying_)
     return;
   is_relaying_ = true;
-  if (!caller_.BeginStream(status_, headers_))
+  if (!caller_.BeginStream(status_, headers_, is_event_stream_))
     is_caller_gone_ = true;
 }
 
--- a/packages/node/src/caller_connection.cc
+++ b/packages/node/src/caller_connection.cc
@@ -63,8 +63,8 @@
 
 bool caller_connection::SendRefusal(const refusal& reason) {
   if (has_started_) {
-    const bool is_written =
-        stream_ != nullptr && WriteStream(RefusalEvent(reason, call_.value()));
+    const bool is_written = has_events_ && stream_ != nullptr &&
+                            WriteStream(RefusalEvent(reason, call_.value()));
     Abort();
     return is_written;
   }
@@ -80,7 +80,9 @@
 
 bool caller_connection::BeginStream(
     int status,
-    const std::vector<endpoint::header>& headers) {
+    const std::vector<endpoint::header>& headers,
+    bool has_events) {
+  has_events_ = has_events;
   return TryWrite([&] {
     SetHead(status, headers);
     response_.setChunkedTransferEncoding(true);
--- a/packages/node/src/caller_connection.h
+++ b/packages/node/src/caller_connection.h
@@ -39,12 +39,15 @@
                   const std::vector<endpoint::header>& headers,
                   std::string_view body);
 
-  // Sends a refusal: a JSON answer or, if a stream has started, an error event
-  // after which the connection is aborted.
+  // Sends a refusal: a JSON answer or, if an answer has started, nothing but an
+  // error event in a stream of events, after which the connection is aborted.
   bool SendRefusal(const refusal& reason);
 
-  // Starts a streamed answer. Returns false if the caller has disconnected.
-  bool BeginStream(int status, const std::vector<endpoint::header>& headers);
+  // Starts a streamed answer, of whole events or of any parts. Returns false if
+  // the caller has disconnected.
+  bool BeginStream(int status,
+                   const std::vector<endpoint::header>& headers,
+                   bool has_events);
 
   // Writes and flushes a part of the stream.
   bool WriteStream(std::string_view part);
@@ -64,6 +67,7 @@
   const request_id call_;
   std::ostream* stream_ = nullptr;
   bool has_started_ = false;
+  bool has_events_ = false;
 };
 
 }  // namespace jasminepath::node
--- a/packages/node/tests/broken_stream_test.cc
+++ b/packages/node/tests/broken_stream_test.cc
@@ -320,5 +320,22 @@
   }
 }
 
+// An answer larger than the worker's buffer, which is relayed as it arrives.
+BOOST_FIXTURE_TEST_CASE(APlainAnswerThatBreaksOffContainsNothingElse,
+                        worker_fixture) {
+  const std::string part(2 * kMaxBufferedBytes, 'e');
+  for (const std::string& begun :
+       {Head("200 OK", "Content-Length: 99999\r\n") + part,
+        Head("200 OK", "Transfer-Encoding: chunked\r\n") + Chunk(part),
+        Head("500 Error", "Content-Length: 99999\r\n") + part}) {
+    for (const char* path : {"/plain", "/stream"}) {
+      const caller_answer answer =
+          Receive(path, {begun, Plain("500 Error", "error text")});
+      BOOST_TEST(!answer.is_complete);
+      BOOST_TEST(answer.body == part);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace jasminepath::node
