Tests: own interface never completes an answer cut after any of its bytes

An exchange ends as complete only after its whole head and a body of announced length or with its last chunk; an answer without either is malformed there.

Evidence: the test cuts answers framed by length or chunks, without body, after a 100 Continue and streamed after each of their bytes, by close and by reset, at the first and the second attempt, through the worker and the real server; all pass without a change. The own interface uses each connection to an engine once, so there is no reused one to test. node_test has no failure.

--- a/packages/node/tests/broken_stream_test.cc
+++ b/packages/node/tests/broken_stream_test.cc
@@ -88,6 +88,8 @@
     const std::lock_guard lock(mutex_);
     answers_.assign(answers.begin(), answers.end());
   }
+  // Makes the engine reset its connections instead of closing them.
+  void SetResetting(bool is_resetting) { is_resetting_ = is_resetting; }
 
  private:
   void Serve() {
@@ -98,6 +100,11 @@
       const std::string head = ReadUntil(connection, kSplit);
       const std::string answer = AnswerTo(head);
       connection.sendBytes(answer.data(), static_cast<int>(answer.size()));
+      if (is_resetting_) {
+        connection.setLinger(true, 0);
+        connection.close();
+        continue;
+      }
       connection.shutdownSend();
       ReadUntil(connection, "");
     }
@@ -121,6 +128,7 @@
   std::mutex mutex_;
   std::deque<std::string> answers_;
   std::atomic<bool> is_stopping_{false};
+  std::atomic<bool> is_resetting_{false};
   Poco::Net::ServerSocket socket_;
   std::thread thread_;
 };
@@ -156,7 +164,8 @@
 }
 
 // A worker behind a real server. The test decides like the decision thread: an
-// attempt that did not answer is resumed where that is possible.
+// attempt that did not answer is repeated or, once the answer has begun,
+// resumed where that is possible.
 struct worker_fixture {
   worker_fixture() {
     limits.probe_timeout = Milliseconds(200);
@@ -208,11 +217,14 @@
       is_answered = report.end == decision::attempt_end::answered ||
                     (report.end == decision::attempt_end::server_error &&
                      report.relayed > bytes(0));
+      const bool has_begun = report.relayed > bytes(0);
       if (report.end == decision::attempt_end::cancelled ||
-          !report.resume_position)
+          (has_begun && !report.resume_position))
         break;
-      command.resumed_attempt = 1;
-      command.resume_from = *report.resume_position;
+      if (has_begun) {
+        command.resumed_attempt = 1;
+        command.resume_from = *report.resume_position;
+      }
     }
     if (is_answered)
       channel->Send(finish_answer{});
@@ -229,6 +241,12 @@
   std::unique_ptr<http_server> server;
 };
 
+// Whether the answer is the refusal by which the fixture ends a call.
+bool IsRefusal(const caller_answer& answer) {
+  return answer.is_complete && !answer.head.starts_with("HTTP/1.1 2") &&
+         answer.body.find("refusal text") != std::string::npos;
+}
+
 struct named_text {
   std::string name;
   std::string text;
@@ -337,5 +355,42 @@
   }
 }
 
+BOOST_FIXTURE_TEST_CASE(AnAnswerThatBreaksOffIsNotComplete, worker_fixture) {
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::vector<named_text> whole_answers = {
+      {"length", Plain("200 OK", "some text")},
+      {"no_body", Plain("200 OK", "")},
+      {"chunks", Head("200 OK", chunked) + Chunk("some") + Chunk("text") +
+                     "0\r\nT: u\r\n\r\n"},
+      {"interim", "HTTP/1.1 100 Continue\r\n\r\n" + Plain("200 OK", "text")},
+      {"stream", WholeStream("id: 0\ndata: a\n\ndata: [DONE]\n\n")},
+  };
+  for (const named_text& item : whole_answers) {
+    for (const bool is_resetting : {false, true}) {
+      engine.SetResetting(is_resetting);
+      for (std::size_t cut = 0; cut < item.text.size(); ++cut) {
+        const std::string begun = item.text.substr(0, cut);
+        const caller_answer answer = Receive("/stream", {begun, begun});
+        BOOST_TEST_CONTEXT(item.name << " after " << cut) {
+          const bool is_success = answer.head.starts_with("HTTP/1.1 2");
+          BOOST_TEST(!(is_success && answer.is_complete));
+          BOOST_TEST((is_success || IsRefusal(answer)));
+        }
+      }
+    }
+    engine.SetResetting(false);
+    BOOST_TEST(Receive("/stream", {item.text.substr(0, 9), item.text})
+                   .head.starts_with("HTTP/1.1 200"));
+  }
+}
+
+// An engine's answers have a length.
+BOOST_FIXTURE_TEST_CASE(AnAnswerWithoutLengthIsNotComplete, worker_fixture) {
+  for (const char* body : {"", "some text"}) {
+    const std::string answer = Head("200 OK", "") + body;
+    BOOST_TEST(IsRefusal(Receive("/plain", {answer, answer})));
+  }
+}
+
 }  // namespace
 }  // namespace jasminepath::node
