Count a client's idle connections

A caller that keeps one connection has to know whether it is still open before it sends the next call, because Send() opens a new one to the same peer otherwise. The fault soak needs this; nodes do not use it.

http_test: ReusesTheConnectionForLaterCalls, DropsAnIdleConnectionThatThePeerCloses.

--- a/packages/http/include/jasminepath/http/client.h
+++ b/packages/http/include/jasminepath/http/client.h
@@ -98,6 +98,8 @@
 
   // Number of connections opened since the client was created, for the metrics.
   std::size_t opened_connections() const;
+  // Number of open connections that carry no call.
+  std::size_t idle_connections() const;
 
   void CloseIdle();
 
--- a/packages/http/src/client.cc
+++ b/packages/http/src/client.cc
@@ -86,6 +86,10 @@
   return pool_->opened_connections;
 }
 
+std::size_t client::idle_connections() const {
+  return pool_->idle.size();
+}
+
 void client::CloseIdle() {
   const auto idle = std::move(pool_->idle);
   pool_->idle.clear();
--- a/packages/http/tests/client_test.cc
+++ b/packages/http/tests/client_test.cc
@@ -24,6 +24,18 @@
     BOOST_TEST(sink.body == "ok");
   }
   BOOST_TEST(peer.connections() == 1);
+  BOOST_TEST(subject.idle_connections() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(DropsAnIdleConnectionThatThePeerCloses, loop_fixture) {
+  canned_peer peer(*this, {kAnswer});
+  peer.CloseAfterAnswer(false);
+  client subject(loop, peer.address());
+  collecting_sink sink;
+  const auto call = subject.Send(kRequest, false, {}, sink);
+  RunUntil([&] { return sink.done(); });
+  BOOST_TEST(sink.ended);
+  RunUntil([&] { return subject.idle_connections() == 0; });
 }
 
 BOOST_FIXTURE_TEST_CASE(OpensANewConnectionWhenReuseIsDisabled, loop_fixture) {
