Soak: streams that last for seconds, callers that stay, and the rule of LOST

Callers lost streams around planned stops, and the soak passed: its streams lasted 60 ms, and its callers drew a ready node for each call, so from the second failed readiness check on nobody used a connection to a node that was stopping.

Half of the streams now last 1 s to 9 s, half of them run once with one attempt, and some wait in the endpoint's queue first. Persistent callers keep their connection until the node closes it. Calm phases last 20 s of planned work and begin with stops of up to half of the nodes in turn, beside reloads and changes of the configuration in series. An endpoint that leaves finishes its requests before it goes.

A call that is cut in calm time is lost unless its time was used up, its endpoint broke off, or it was sent at most 3 s after the SIGTERM and its endpoint still worked on it in the last sixth of the grace period. New in the check: malformed answers, the probes of the configuration, a request that runs after its connection was closed as unread, and calls in flight when the faults end, which a disturbance noted at that time excused. Each cut is traced in cuts.txt.

--- a/scripts/soak.sh
+++ b/scripts/soak.sh
@@ -14,7 +14,7 @@
 
 run_one() {
   if "$1/bin/soak" --program "$1/bin/jasminepathd" --folder "$1/$2" --seed "$2" \
-    --seconds "${SECONDS_OF_FAULTS:-40}" --nodes "${NODES:-6}" \
+    --seconds "${SECONDS_OF_FAULTS:-62}" --nodes "${NODES:-6}" \
     --memory-mb "${NODE_MEMORY_MB:-260}"; then
     rm -rf "${1:?}/$2"
   else
--- a/soak/configuration_prober.cc
+++ b/soak/configuration_prober.cc
@@ -90,6 +90,11 @@
       [this, entry](const call_end& end) {
         const probe finished = std::move(*entry);
         probes_.erase(entry);
+        checker_.OnProbeEnd(
+            finished.call, end,
+            site_.ConditionsOf(site_.nodes()[finished.node], finished.sent_at,
+                               /*is_first_on_connection=*/true),
+            boot_clock::now());
         OnProbeEnd(finished, end);
       });
 }
--- a/soak/fault_injector.cc
+++ b/soak/fault_injector.cc
@@ -18,14 +18,16 @@
 // Lengths of a fault phase and of the phase of planned work that follows once
 // the site has settled.
 constexpr duration kFaultPhaseLength = Seconds(8);
-constexpr duration kPlannedPhaseLength = Seconds(10);
+constexpr duration kPlannedPhaseLength = Seconds(20);
 // Maximum pauses between two faults of a fault phase, and between two pieces of
 // planned work.
 constexpr int64_t kMaxFaultPauseMs = 900;
 constexpr int64_t kMaxPlannedPauseMs = 2500;
 // From the removal of an endpoint from the list until it is listed again as a
-// new instance.
+// new instance, and the interval at which it then checks whether its last
+// requests have ended.
 constexpr duration kUnlistedTime = Seconds(3);
+constexpr duration kOpenRequestsInterval = Milliseconds(200);
 // How long a draining endpoint continues to serve before it is unlisted.
 constexpr duration kDrainTime = Seconds(4);
 
@@ -125,9 +127,7 @@
                        if (!endpoint.is_listed || endpoint.draining_at)
                          return kNotApplicable;
                        const duration length = RandomDuration(200, 3000);
-                       endpoint.proxy->ResetOpenConnections();
-                       endpoint.proxy->RefuseNewConnections();
-                       endpoint.standin->Restart();
+                       soak_site::Crash(endpoint);
                        RunLater(length, [this, &endpoint] {
                          endpoint.proxy->ClearFaults();
                          site_.Publish(endpoint);
@@ -172,33 +172,61 @@
 
 void fault_injector::AddPlannedWork() {
   faults_.push_back({"node_stop", true, [this]() -> fault_duration {
-                       site_node& node = RandomNode();
-                       if (node.stopping_since || !node.process->IsRunning())
+                       if (!soak_site::Stop(RandomNode()))
                          return kNotApplicable;
-                       node.is_end_expected = true;
-                       node.stopping_since = boot_clock::now();
-                       node.process->Signal(SIGTERM);
+                       return duration::zero();
+                     }});
+  faults_.push_back({"nodes_stop_in_turn", true, [this]() -> fault_duration {
+                       StopInTurn();
                        return duration::zero();
                      }});
   faults_.push_back({"node_reload", true, [this]() -> fault_duration {
-                       RandomNode().process->Signal(SIGHUP);
+                       soak_site::Reload(RandomNode());
                        return duration::zero();
                      }});
   faults_.push_back({"configuration", true, [this]() -> fault_duration {
                        site_.ChangeConfiguration();
+                       for (int64_t more = RandomBelow(3); more > 0; --more)
+                         RunLater(RandomDuration(0, 500),
+                                  [this] { site_.ChangeConfiguration(); });
                        return duration::zero();
                      }});
-  faults_.push_back({"endpoint_leaves", true, [this]() -> fault_duration {
-                       site_endpoint& endpoint = RandomEndpoint();
-                       if (!endpoint.is_listed || endpoint.draining_at)
-                         return kNotApplicable;
-                       site_.Drain(endpoint);
-                       RunLater(kDrainTime,
-                                [this, &endpoint] { site_.Unlist(endpoint); });
-                       RunLater(kDrainTime + kUnlistedTime,
-                                [this, &endpoint] { site_.Relist(endpoint); });
-                       return duration::zero();
-                     }});
+  faults_.push_back(
+      {"endpoint_leaves", true, [this]() -> fault_duration {
+         site_endpoint& endpoint = RandomEndpoint();
+         if (!endpoint.is_listed || endpoint.draining_at)
+           return kNotApplicable;
+         site_.Drain(endpoint);
+         RunLater(kDrainTime, [this, &endpoint] { site_.Unlist(endpoint); });
+         RunLater(kDrainTime + kUnlistedTime,
+                  [this, &endpoint] { RelistOnceIdle(endpoint); });
+         return duration::zero();
+       }});
+}
+
+void fault_injector::RelistOnceIdle(site_endpoint& endpoint) {
+  if (endpoint.standin->open_requests() == 0)
+    return site_.Relist(endpoint);
+  RunLater(kOpenRequestsInterval,
+           [this, &endpoint] { RelistOnceIdle(endpoint); });
+}
+
+void fault_injector::StopInTurn() {
+  auto& nodes = site_.nodes();
+  const int64_t count = std::max<int64_t>(
+      1, std::ssize(nodes) / 2 -
+             RandomBelow(std::max<int64_t>(1, std::ssize(nodes) / 4)));
+  const int64_t first = RandomBelow(std::ssize(nodes));
+  duration delay{};
+  for (int64_t i = 0; i < count; ++i) {
+    site_node& node =
+        nodes[static_cast<std::size_t>((first + i) % std::ssize(nodes))];
+    if (RandomBelow(2) == 0)
+      RunLater(delay, [&node] { soak_site::Reload(node); });
+    delay += RandomDuration(0, 400);
+    RunLater(delay, [&node] { soak_site::Stop(node); });
+    delay += RandomDuration(100, 1800);
+  }
 }
 
 void fault_injector::Start(duration length) {
@@ -215,7 +243,11 @@
   }
   ClearAllFaults();
   phase_ends_at_ = now + kSettlingTime + kPlannedPhaseLength;
-  step_timer_.Start(kSettlingTime, [this] { Step(); });
+  // Stops first, so that the whole grace periods fall into this phase.
+  step_timer_.Start(kSettlingTime, [this] {
+    StopInTurn();
+    ScheduleStep();
+  });
 }
 
 void fault_injector::ClearAllFaults() {
@@ -236,6 +268,8 @@
 
 void fault_injector::Step() {
   const time_point now = boot_clock::now();
+  if (now >= ends_at_ && !is_fault_phase_)
+    return;
   if (now >= ends_at_)
     return ClearAllFaults();
   if (now >= phase_ends_at_)
@@ -246,6 +280,10 @@
       choices.push_back(&each);
   }
   Inject(*choices[static_cast<std::size_t>(RandomBelow(std::ssize(choices)))]);
+  ScheduleStep();
+}
+
+void fault_injector::ScheduleStep() {
   step_timer_.Start(RandomDuration(50, is_fault_phase_ ? kMaxFaultPauseMs
                                                        : kMaxPlannedPauseMs),
                     [this] { Step(); });
--- a/soak/fault_injector.h
+++ b/soak/fault_injector.h
@@ -44,6 +44,11 @@
 
   void BeginPhase();
   void Step();
+  void ScheduleStep();
+  // Stops up to half of the nodes in turn, some of them right after a reload.
+  void StopInTurn();
+  // Lists a leaving endpoint again after its last request has ended.
+  void RelistOnceIdle(site_endpoint& endpoint);
   void Inject(const fault& chosen);
   void ClearAllFaults();
   // Runs `step` after `delay`.
--- a/soak/invariant_checker.cc
+++ b/soak/invariant_checker.cc
@@ -27,12 +27,15 @@
 
 void invariant_checker::OnSent(const planned_call& call, time_point now) {
   ++counts_.calls;
-  calls_[call.id] = {call, now, 0, false};
+  call_record record;
+  record.call = call;
+  record.sent_at = now;
+  calls_[call.id] = std::move(record);
 }
 
 void invariant_checker::OnEnd(const planned_call& call,
                               const call_end& end,
-                              bool is_undisturbed,
+                              const call_conditions& conditions,
                               time_point now) {
   call_record& record = calls_[call.id];
   if (end.is_complete && end.status >= 200 && end.status < 300) {
@@ -52,24 +55,117 @@
   if (end.status == 401 || end.status == 403 || end.status == 404)
     AddViolation("proper requests are not denied",
                  call.id + " got " + std::to_string(end.status));
-  if (end.has_timed_out && is_undisturbed)
-    AddViolation("requests end in time", call.id + " got no answer");
-  const bool is_lost = record.runs > 0 || now - record.sent_at > kLossSlack;
-  if (is_undisturbed && end.failure == http::call_failure::broken && is_lost)
-    AddViolation("planned work loses no requests",
-                 call.id + " ended without an answer after " +
-                     std::to_string(ToMilliseconds(now - record.sent_at)) +
-                     " ms");
+  CheckCut(record, end, conditions, now);
+}
+
+void invariant_checker::OnProbeEnd(const planned_call& call,
+                                   const call_end& end,
+                                   const call_conditions& conditions,
+                                   time_point now) {
+  if (!end.is_complete)
+    CheckCut(calls_[call.id], end, conditions, now);
+}
+
+void invariant_checker::CheckCut(call_record& record,
+                                 const call_end& end,
+                                 const call_conditions& conditions,
+                                 time_point now) {
+  const std::string& id = record.call.id;
+  if (end.failure == http::call_failure::malformed)
+    AddViolation("answers follow the protocol", id);
+  if (!conditions.is_undisturbed)
+    return;
+  if (end.has_timed_out)
+    AddViolation("requests end in time", id + " got no answer");
+  const bool is_cut = end.failure == http::call_failure::broken ||
+                      end.failure == http::call_failure::malformed;
+  if (!is_cut)
+    return;
+  if (record.runs == 0 && now - record.sent_at <= kLossSlack) {
+    record.is_unread = true;
+    return;
+  }
+  const std::string excuse = ExcuseFor(record, conditions, now);
+  const std::string line = DescribeCut(record, end, conditions, now);
+  ++counts_.cut;
+  cuts_.push_back(line + " verdict=" + (excuse.empty() ? "lost" : excuse));
+  if (!excuse.empty())
+    return;
+  ++counts_.lost;
+  AddViolation("planned work loses no requests", line);
+}
+
+std::string invariant_checker::DescribeCut(const call_record& record,
+                                           const call_end& end,
+                                           const call_conditions& conditions,
+                                           time_point now) {
+  const planned_call& call = record.call;
+  const time_point zero = conditions.stopped_at.value_or(record.sent_at);
+  const auto at = [zero](time_point time) {
+    return std::to_string(ToMilliseconds(time - zero));
+  };
+  std::string line = call.id + " target=" + call.target.substr(0, 7) +
+                     " node=" + conditions.node +
+                     (conditions.is_first_on_connection ? " first" : " later") +
+                     "_on_connection " +
+                     (conditions.stopped_at ? "sigterm=0" : "sigterm=none") +
+                     " sent=" + at(record.sent_at) + " cut=" + at(now) +
+                     " status=" + std::to_string(end.status) +
+                     " runs=" + std::to_string(record.runs);
+  if (record.last_run) {
+    const run_record& run = *record.last_run;
+    line += " at=" + run.endpoint + " from=" + at(run.began_at);
+    if (run.ended_at)
+      line += " until=" + at(*run.ended_at);
+  }
+  if (!call.model.empty())
+    line +=
+        " stream_ms=" +
+        std::to_string(call.stream.events *
+                       ToMilliseconds(call.stream.event_interval)) +
+        " queue_ms=" + std::to_string(ToMilliseconds(call.stream.queue_time));
+  if (conditions.reloaded_at)
+    line += " reloaded=" + at(*conditions.reloaded_at);
+  if (conditions.reconfigured_at)
+    line += " reconfigured=" + at(*conditions.reconfigured_at);
+  return line;
+}
+
+std::string invariant_checker::ExcuseFor(const call_record& record,
+                                         const call_conditions& conditions,
+                                         time_point now) {
+  if (now - record.sent_at >= record.call.timeout - kTimeoutMargin)
+    return "time_used_up";
+  if (!record.last_run)
+    return "";
+  const run_record& run = *record.last_run;
+  if (run.end == platform_adapter::run_end::broke_off)
+    return "endpoint_broke_off";
+  if (!conditions.stopped_at)
+    return "";
+  const time_point stopped_at = *conditions.stopped_at;
+  const bool is_at_work_late =
+      run.ended_at.value_or(now) >= stopped_at + kLateInStop;
+  if (record.sent_at <= stopped_at + kStopNoticeTime && is_at_work_late)
+    return "at_work_late_in_stop";
+  return "";
+}
+
+platform_adapter::stream_shape invariant_checker::StreamOf(
+    std::string_view id) const {
+  const auto found = calls_.find(id);
+  return found == calls_.end() ? platform_adapter::stream_shape()
+                               : found->second.call.stream;
 }
 
 void invariant_checker::CheckAnswer(const call_record& record,
                                     const call_end& end) {
   const std::string& id = record.call.id;
-  const bool is_expected =
-      record.call.model.empty()
-          ? end.body.starts_with("answer of ") &&
-                end.body.ends_with(" to " + id)
-          : end.body == platform_adapter::WholeStreamOf(id);
+  const bool is_expected = record.call.model.empty()
+                               ? end.body.starts_with("answer of ") &&
+                                     end.body.ends_with(" to " + id)
+                               : end.body == platform_adapter::WholeStreamOf(
+                                                 id, record.call.stream.events);
   if (!end.is_sealed || !is_expected)
     AddViolation("answers are whole and the caller's own",
                  id + " got \"" + end.body + "\"");
@@ -87,6 +183,9 @@
     return AddViolation("only callers' requests run", id + " at " + endpoint);
   call_record& record = found->second;
   ++record.runs;
+  record.last_run.emplace();
+  record.last_run->endpoint = endpoint;
+  record.last_run->began_at = now;
   const planned_call& call = record.call;
   if (record.runs > 1 && call.kind == call_kind::non_idempotent)
     AddViolation("at most once",
@@ -94,6 +193,12 @@
   if (record.runs > kMaxAttempts)
     AddViolation("attempts are bounded",
                  id + " ran " + std::to_string(record.runs) + " times");
+  if (record.is_unread) {
+    ++counts_.lost;
+    AddViolation(
+        "planned work loses no requests",
+        id + " ran at " + endpoint + " after its connection had ended");
+  }
   if (record.is_reported_not_run)
     AddViolation("refused requests do not run",
                  id + " was refused and ran at " + endpoint);
@@ -109,6 +214,22 @@
   CheckTokenUse(call.team, call.tokens, now);
 }
 
+void invariant_checker::OnRunEnd(const std::string& endpoint,
+                                 const std::string& request,
+                                 platform_adapter::run_end how,
+                                 time_point now) {
+  const auto found = calls_.find(request);
+  if (found == calls_.end() || !found->second.last_run)
+    return;
+  run_record& run = *found->second.last_run;
+  // A repeated request may begin to run before the end of its earlier run is
+  // known.
+  if (run.endpoint != endpoint)
+    return;
+  run.ended_at = now;
+  run.end = how;
+}
+
 void invariant_checker::CheckTokenUse(const std::string& team,
                                       int64_t tokens,
                                       time_point now) {
--- a/soak/load_generator.h
+++ b/soak/load_generator.h
@@ -28,6 +28,9 @@
                callback done);
   ~running_call() override;
 
+  // Whether its connection has carried earlier calls.
+  bool uses_reused_connection() const;
+
  private:
   bool OnHead(const http::response_head& head) override;
   void OnBody(std::string_view piece) override;
@@ -41,8 +44,11 @@
   std::unique_ptr<http::call> call_;
 };
 
-// Sends calls of all teams at a fixed rate to the nodes that pass their
-// readiness checks, and reuses idle connections for as long as the site allows.
+// Sends calls of all teams in two ways. Occasional callers send calls at a
+// fixed rate to nodes that pass their readiness checks, on new connections and
+// on pooled ones. Persistent callers send one call after another on a
+// connection that they keep until the node closes it, whether the node is ready
+// or not; then they connect to a node that passes its readiness checks.
 class load_generator {
  public:
   load_generator(http::event_loop& loop,
@@ -60,7 +66,11 @@
  private:
   struct open_call {
     planned_call plan;
+    std::size_t node = 0;
+    bool is_first_on_connection = false;
     time_point sent_at;
+    // Runs after the end of the call, or after its caller has cancelled it.
+    std::function<void()> done;
     std::unique_ptr<running_call> running;
     // Set if the caller cancels the call before it ends.
     std::unique_ptr<http::timer> cancel_timer;
@@ -71,14 +81,31 @@
     std::unique_ptr<http::buffered_call> readiness_check;
     int failed_checks = 0;
   };
+  struct persistent_caller {
+    explicit persistent_caller(http::event_loop& loop) : timer(loop) {}
+
+    std::size_t node = 0;
+    std::unique_ptr<http::client> client;
+    http::timer timer;
+  };
   struct outcome {
     time_point at;
     bool is_answered = false;
   };
 
   void ScheduleCall();
-  void SendCall();
-  planned_call DrawCall();
+  void SendOccasionalCall();
+  void ScheduleNextCall(persistent_caller& caller);
+  void SendNextCall(persistent_caller& caller);
+  // Sends a call to a node through a client of its. `done` runs at the end.
+  void SendCall(planned_call plan,
+                std::size_t node,
+                http::client& client,
+                duration max_idle_time,
+                std::function<void()> done);
+  void OnCallEnd(std::list<open_call>::iterator entry, const call_end& end);
+  planned_call DrawCall(int64_t stream_percentage);
+  platform_adapter::stream_shape DrawStream();
   std::size_t PickNode();
   void CheckReadiness();
   int64_t RandomBelow(int64_t bound);
@@ -88,6 +115,7 @@
   invariant_checker& checker_;
   random_engine random_;
   std::vector<node_clients> nodes_;
+  std::list<persistent_caller> persistent_callers_;
   std::list<open_call> calls_;
   std::vector<outcome> outcomes_;
   http::timer call_timer_;
--- a/soak/main.cc
+++ b/soak/main.cc
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cxxopts.hpp>
 #include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <string>
 
@@ -99,12 +100,14 @@
     std::cout << "seed=" << plan_.seed << " calls=" << counts.calls
               << " answered=" << counts.answered
               << " refused=" << counts.refused << " failed=" << counts.failed
-              << " left=" << counts.cancelled << " runs=" << counts.runs
+              << " left=" << counts.cancelled << " cut=" << counts.cut
+              << " lost=" << counts.lost << " runs=" << counts.runs
               << " orders=" << counts.orders << " recovered=" << recovered_
               << " broken=" << checker_.violations().size();
     for (const auto& [name, count] : injector_.counts())
       std::cout << " " << name << "=" << count;
     std::cout << "\n";
+    WriteDetails();
     for (const auto& [invariant, details] : checker_.violations()) {
       std::cout << "  broken: " << invariant << ", " << details.size()
                 << " times\n";
@@ -115,6 +118,18 @@
     return checker_.violations().empty() ? kExitPassed : kExitFailed;
   }
 
+  // Writes all violations and all calls that were cut in undisturbed time.
+  void WriteDetails() const {
+    std::ofstream violations(plan_.folder + "/violations.txt");
+    for (const auto& [invariant, details] : checker_.violations()) {
+      for (const std::string& detail : details)
+        violations << invariant << ": " << detail << "\n";
+    }
+    std::ofstream cuts(plan_.folder + "/cuts.txt");
+    for (const std::string& cut : checker_.cuts())
+      cuts << cut << "\n";
+  }
+
   soak_plan plan_;
   http::event_loop loop_;
   soak::invariant_checker checker_;
@@ -139,7 +154,7 @@
       "nodes", "number of nodes", cxxopts::value<int>()->default_value("6"))(
       "memory-mb", "memory limit of a node in MB; sanitizers need more",
       cxxopts::value<int64_t>())("seconds", "duration of the faults in seconds",
-                                 cxxopts::value<int>()->default_value("40"))(
+                                 cxxopts::value<int>()->default_value("62"))(
       "help", "show this text");
   try {
     const auto parsed = options.parse(argc, argv);
--- a/soak/soak_bounds.h
+++ b/soak/soak_bounds.h
@@ -18,6 +18,12 @@
 inline constexpr duration kDrainBound = Seconds(2);
 // From SIGTERM until the process has exited.
 inline constexpr duration kStopBound = Seconds(8);
+// A node may cut a request if the request was sent within this time after the
+// SIGTERM and an endpoint still worked on it in the last sixth of kStopBound.
+inline constexpr duration kStopNoticeTime = Seconds(3);
+inline constexpr duration kLateInStop = kStopBound - kStopBound / 6;
+// A request that ends this little before its timeout has used its time up.
+inline constexpr duration kTimeoutMargin = Milliseconds(50);
 // If a connection breaks within this time after a request was sent, the node
 // may not have read the request.
 inline constexpr duration kLossSlack = Milliseconds(200);
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -22,9 +22,12 @@
 constexpr uint16_t kPortsPerNode = 4;
 constexpr uint16_t kLowestPort = 20000;
 constexpr uint16_t kPortRange = 10000;
-// Duration of a request, and the interval between two events of a stream.
+// Duration of a plain request.
 constexpr duration kRequestDuration = Milliseconds(15);
 
+// Maximum number of concurrent requests of an engine, per node.
+constexpr int64_t kEngineSlotsPerNode = 16;
+
 // Returns whether all ports of a node can be bound for TCP and UDP.
 bool ArePortsFree(http::event_loop& loop, uint16_t first) {
   const auto ip = boost::asio::ip::make_address("127.0.0.1");
@@ -59,6 +62,7 @@
     : loop_(loop),
       checker_(checker),
       node_memory_kb_(node_memory_kb),
+      engine_slots_(kEngineSlotsPerNode * nodes),
       store_(loop) {
   for (int i = 0; i < kShopEndpoints; ++i)
     AddEndpoint("shop-" + std::to_string(i), "shop");
@@ -101,15 +105,24 @@
   added.standin->advertised_address = added.proxy->address();
   added.standin->service_time = kRequestDuration;
   const std::size_t index = endpoints_.size();
-  added.standin->on_run = [this, index, id](const http::request& message) {
-    const time_point now = boot_clock::now();
+  added.standin->on_accepted = [this, index, id] {
     const auto& draining_at = endpoints_[index].draining_at;
-    if (draining_at && now - *draining_at > kDrainBound &&
+    if (draining_at && boot_clock::now() - *draining_at > kDrainBound &&
         WasUndisturbed(*draining_at))
       checker_.AddViolation("draining endpoints receive no new requests", id);
-    checker_.OnRun(id, message, now);
+  };
+  added.standin->on_run = [this, id](const http::request& message) {
+    checker_.OnRun(id, message, boot_clock::now());
+  };
+  added.standin->on_run_end = [this, id](const std::string& request,
+                                         platform_adapter::run_end how) {
+    checker_.OnRunEnd(id, request, how, boot_clock::now());
   };
   if (service == "loom") {
+    added.standin->slots = engine_slots_;
+    added.standin->shape_of_stream = [this](const http::request& message) {
+      return checker_.StreamOf(message.headers.ValueOf("Attempt-Id"));
+    };
     added.standin->copies = {"m1", "m2", "m3", "m4"};
     added.standin->models = {"m" + std::to_string(index % 3 + 1)};
     added.standin->on_order = [this, id](const std::string& holder,
@@ -139,8 +152,11 @@
  {"name":"look","host":"h","pathPrefix":"/look/","kind":"idempotent",
   "timeoutMs":4000,"targetLatencyMs":300,"service":"shop","maxAttempts":2},
  {"name":"write","host":"h","pathPrefix":"/write/","kind":"streaming",
-  "timeoutMs":6000,"targetLatencyMs":2000,"service":"loom","maxAttempts":2,
-  "resumable":true,"gapAimMs":500},)";
+  "timeoutMs":12000,"targetLatencyMs":2000,"service":"loom","maxAttempts":2,
+  "resumable":true,"gapAimMs":500},
+ {"name":"chat","host":"h","pathPrefix":"/chat/","kind":"streaming",
+  "timeoutMs":12000,"targetLatencyMs":2000,"service":"loom","maxAttempts":1,
+  "resumable":false,"gapAimMs":500},)";
   routes += R"({"name":"v)" + number + R"(","host":"h","pathPrefix":"/v)" +
             number + R"(/","kind":"idempotent","timeoutMs":4000,
   "targetLatencyMs":300,"service":"shop","maxAttempts":2})";
@@ -158,7 +174,8 @@
   };
   const team_allowance ample{100000, 100000};
   return R"({"version":)" + number + R"(,"routes":[)" + routes +
-         R"(],"services":[{"name":"shop"},{"name":"loom","engine":{"slots":8,
+         R"(],"services":[{"name":"shop"},{"name":"loom","engine":{"slots":)" +
+         std::to_string(engine_slots_) + R"(,
   "weightsMb":205,"adapterSlots":4,"loadsPerS":5,"models":[)" +
          models +
          R"(]}}],"limits":{"maxHeaderBytes":8000,"maxBodyBytes":8000,
@@ -182,6 +199,37 @@
   return since - kSettlingTime > disturbed_until_;
 }
 
+bool soak_site::Stop(site_node& node) {
+  if (node.stopping_since || !node.process->IsRunning())
+    return false;
+  node.is_end_expected = true;
+  node.stopping_since = node.stopped_at = boot_clock::now();
+  node.process->Signal(SIGTERM);
+  return true;
+}
+
+void soak_site::Reload(site_node& node) {
+  node.reloaded_at = boot_clock::now();
+  node.process->Signal(SIGHUP);
+}
+
+call_conditions soak_site::ConditionsOf(const site_node& node,
+                                        time_point sent_at,
+                                        bool is_first_on_connection) const {
+  call_conditions out;
+  out.node = node.process->plan().name;
+  out.is_first_on_connection = is_first_on_connection;
+  out.is_undisturbed = WasUndisturbed(sent_at);
+  if (node.stopped_at &&
+      boot_clock::now() - *node.stopped_at <= kStopBound + Seconds(1))
+    out.stopped_at = node.stopped_at;
+  if (node.reloaded_at && *node.reloaded_at > sent_at - kConfigurationBound)
+    out.reloaded_at = node.reloaded_at;
+  if (changed_at_ > sent_at - kConfigurationBound)
+    out.reconfigured_at = changed_at_;
+  return out;
+}
+
 void soak_site::Publish(const site_endpoint& endpoint) {
   store_.Put(
       "servers", endpoint.standin->id(),
@@ -199,9 +247,15 @@
   store_.Remove("servers", endpoint.standin->id());
 }
 
-void soak_site::Relist(site_endpoint& endpoint) {
+void soak_site::Crash(site_endpoint& endpoint) {
+  endpoint.standin->Restart();
   endpoint.proxy->ResetOpenConnections();
+  endpoint.proxy->RefuseNewConnections();
+}
+
+void soak_site::Relist(site_endpoint& endpoint) {
   endpoint.standin->Restart();
+  endpoint.proxy->ResetOpenConnections();
   endpoint.draining_at.reset();
   endpoint.is_listed = true;
   Publish(endpoint);
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -38,6 +38,9 @@
   int64_t incarnation = 0;
   // Set from SIGTERM until the process has ended.
   std::optional<time_point> stopping_since;
+  // The last SIGTERM and SIGHUP of any process of this node.
+  std::optional<time_point> stopped_at;
+  std::optional<time_point> reloaded_at;
   // The process was killed or stopped on purpose, so its end is no violation.
   bool is_end_expected = false;
 };
@@ -69,6 +72,17 @@
   // kSettlingTime before it.
   bool WasUndisturbed(time_point since) const;
 
+  // Sends SIGTERM or SIGHUP as planned work. Stop() returns false if the
+  // process is stopping or has ended.
+  static bool Stop(site_node& node);
+  static void Reload(site_node& node);
+
+  // What happened around a call to a node that was sent at `sent_at` and ends
+  // now.
+  call_conditions ConditionsOf(const site_node& node,
+                               time_point sent_at,
+                               bool is_first_on_connection) const;
+
   // Publishes the next configuration, which replaces the key of the team
   // "passing" and the route "/vVERSION/".
   void ChangeConfiguration();
@@ -78,9 +92,11 @@
 
   // Drain() marks the endpoint as draining, Unlist() removes it from the
   // endpoint list, and Relist() restarts it and lists it as a new instance.
+  // Crash() breaks off its requests and refuses connections.
   void Drain(site_endpoint& endpoint);
   void Unlist(site_endpoint& endpoint);
   void Relist(site_endpoint& endpoint);
+  static void Crash(site_endpoint& endpoint);
   void Publish(const site_endpoint& endpoint);
 
   // Restarts processes that have ended. Reports ends that were not requested,
@@ -94,6 +110,7 @@
   http::event_loop& loop_;
   invariant_checker& checker_;
   int64_t node_memory_kb_;
+  int64_t engine_slots_;
   platform_adapter::store_standin store_;
   std::vector<site_endpoint> endpoints_;
   std::vector<site_node> nodes_;
