Soak: planned signals wait until a process handles them

They logged no line, not even their start: a SIGHUP or SIGTERM of planned work reached a process before it had installed its handlers, and ended it by its default action. Planned work now skips such a process, as it already skipped one that is stopping; kills and the checks are as before.

--- a/soak/node_process.cc
+++ b/soak/node_process.cc
@@ -92,17 +92,28 @@
   return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
 }
 
-int64_t node_process::PeakMemoryKb() const {
+std::string node_process::StatusValue(const std::string& name) const {
   std::ifstream in("/proc/" + std::to_string(pid_) + "/status");
   std::string line;
   while (std::getline(in, line)) {
-    if (!line.starts_with("VmHWM:"))
-      continue;
-    int64_t kilobytes = 0;
-    std::istringstream(line.substr(6)) >> kilobytes;
-    return kilobytes;
+    if (line.starts_with(name + ":"))
+      return line.substr(name.size() + 1);
   }
-  return 0;
+  return "";
+}
+
+bool node_process::HandlesSignals() const {
+  uint64_t handled = 0;
+  std::istringstream(StatusValue("SigCgt")) >> std::hex >> handled;
+  constexpr uint64_t kNeeded =
+      (uint64_t{1} << (SIGTERM - 1)) | (uint64_t{1} << (SIGHUP - 1));
+  return IsRunning() && (handled & kNeeded) == kNeeded;
+}
+
+int64_t node_process::PeakMemoryKb() const {
+  int64_t kilobytes = 0;
+  std::istringstream(StatusValue("VmHWM")) >> kilobytes;
+  return kilobytes;
 }
 
 }  // namespace jasminepath::soak
--- a/soak/node_process.h
+++ b/soak/node_process.h
@@ -42,11 +42,16 @@
   // ended it; otherwise nullopt.
   std::optional<int> TakeExitCode();
   bool IsRunning() const { return pid_ > 0; }
+  // Whether the process has installed handlers for SIGTERM and SIGHUP, which
+  // end it otherwise.
+  bool HandlesSignals() const;
   // Peak resident memory in kilobytes; 0 if the process has ended.
   int64_t PeakMemoryKb() const;
 
  private:
   void WriteSettings() const;
+  // Value of a line of the process's status in /proc; empty if there is none.
+  std::string StatusValue(const std::string& name) const;
 
   std::string program_;
   std::string folder_;
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -200,7 +200,7 @@
 }
 
 bool soak_site::Stop(site_node& node) {
-  if (node.stopping_since || !node.process->IsRunning())
+  if (node.stopping_since || !node.process->HandlesSignals())
     return false;
   node.is_end_expected = true;
   node.stopping_since = node.stopped_at = boot_clock::now();
@@ -209,6 +209,8 @@
 }
 
 void soak_site::Reload(site_node& node) {
+  if (!node.process->HandlesSignals())
+    return;
   node.reloaded_at = boot_clock::now();
   node.process->Signal(SIGHUP);
 }
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -72,8 +72,9 @@
   // kSettlingTime before it.
   bool WasUndisturbed(time_point since) const;
 
-  // Sends SIGTERM or SIGHUP as planned work. Stop() returns false if the
-  // process is stopping or has ended.
+  // Sends SIGTERM or SIGHUP as planned work, unless the process has not
+  // installed its handlers yet. Stop() returns false if it sent nothing because
+  // of that, or because the process is stopping or has ended.
   static bool Stop(site_node& node);
   static void Reload(site_node& node);
 
