--- a/packages/node/tests/planned_stop_test.cc
+++ b/packages/node/tests/planned_stop_test.cc
@@ -65,7 +65,7 @@
     }
     const bool is_first = !has_begun_.exchange(true);
     if (request.getURI() == "/stream") {
-      caller.BeginStream(200, {});
+      caller.BeginStream(200, {}, true);
       caller.WriteStream("data: 1\n\n");
     }
     if (is_first) {
