Own interface: a node counts as stopping from the signal on

Seen: CallsThatAreCutWhenNodeEndsAreNamedInLog failed 1 of 4 times, under CTest beside other tests: event=call_cut said stopping=0. Cause: only the decision thread marked the node as draining, and a second signal can end that thread before it has read the first. Readiness was late by the same time. Change: the signal itself marks it.

--- a/packages/node/src/node_app.cc
+++ b/packages/node/src/node_app.cc
@@ -171,6 +171,7 @@
       loop_->Stop();
       return;
     }
+    view_.SetDraining();
     caller_server_->BeginDrain();
     Deliver(drain_requested{});
   }
