Fail calls that may have run instead of refusing them

Cause: WaitForEndpoint() refused each call that had not begun its answer, whether or not an attempt may have run; only repeatable calls get there. Change: all refusals on that path go through one function, which fails a call that may have run.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -263,15 +263,15 @@
   const bool may_refuse = for_load && !answer_started_;
   if (may_refuse && spec_ != nullptr && spec_->engine &&
       spec_->engine->FindModel(request_.model) == nullptr)
-    return Refuse(503, "unknown_model", kDefaultRetryAfter);
+    return RefuseOrFail("unknown_model", kDefaultRetryAfter);
   const time_point ready_at = context_.queue.ReadyAt(request_.model);
   if (may_refuse && ready_at > deadline_ - kMinTimeToSend)
-    return Refuse(503, "load_too_late",
-                  std::max<duration>(ready_at - now, kDefaultRetryAfter));
+    return RefuseOrFail("load_too_late",
+                        std::max<duration>(ready_at - now, kDefaultRetryAfter));
   if (may_refuse && !CanCompleteFrom(std::max(now, ready_at)))
-    return Refuse(503, "node_stops", kOtherNodeRetryAfter);
+    return RefuseOrFail("node_stops", kOtherNodeRetryAfter);
   if (may_refuse && now - std::max(ready_at, arrived_at_) > kLoadWaitTimeout)
-    return Refuse(503, "not_loaded", kDefaultRetryAfter);
+    return RefuseOrFail("not_loaded", kDefaultRetryAfter);
   Enqueue(for_load, for_load
                         ? "not_loaded"
                         : (miss == pick_miss::full ? "full" : "no_endpoint"));
@@ -631,9 +631,14 @@
 }
 
 void call_session::RefuseBlocked() {
+  RefuseOrFail("crashes_endpoints", kBlockedRetryAfter);
+}
+
+// A refusal states that the call has not run.
+void call_session::RefuseOrFail(std::string_view reason, duration retry_after) {
   if (may_have_run_ || answer_started_)
     return FailCall();
-  Refuse(503, "crashes_endpoints", kBlockedRetryAfter);
+  Refuse(503, reason, retry_after);
 }
 
 // Ends the call with the most specific failure that is certain.
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -105,6 +105,8 @@
   // Whether the request must not be sent because it crashes endpoints.
   bool IsBlocked() const;
   void RefuseBlocked();
+  // Refuses the call with 503, or fails it if it may have run.
+  void RefuseOrFail(std::string_view reason, duration retry_after);
   // Records, once per attempt, that its endpoint works on requests with these
   // prompt parts.
   void RecordAnswered();
