Soak: silenced connections of callers do not outlive a storm

Cause: the soak's own: a storm silences the open connections of a node's callers for good. Node-0 then stopped and left the rotation, so that pooled connections to it lay idle beyond the settling time and were used again in calm time. Change: the storm's end resets the connections of callers that it has silenced; those to the store and to endpoints stay silent, since nodes have to notice them.

--- a/soak/fault_injector.cc
+++ b/soak/fault_injector.cc
@@ -255,6 +255,9 @@
   for (site_node& node : site_.nodes()) {
     node.process->Signal(SIGCONT);
     node.caller_proxy->ClearFaults();
+    // A pooled connection of a caller may be idle for longer than the settling
+    // time, so that the fault would reach into undisturbed time.
+    node.caller_proxy->ResetSilencedConnections();
     node.store_proxy->ClearFaults();
   }
   for (site_endpoint& endpoint : site_.endpoints()) {
--- a/soak/fault_proxy.cc
+++ b/soak/fault_proxy.cc
@@ -50,6 +50,7 @@
   }
 
   void Silence() { is_silent_ = true; }
+  bool is_silent() const { return is_silent_; }
 
   void End() {
     if (!on_end_)
@@ -188,6 +189,14 @@
     each->Silence();
 }
 
+void fault_proxy::ResetSilencedConnections() {
+  const auto open = relays_;
+  for (const auto& each : open) {
+    if (each->is_silent())
+      each->End();
+  }
+}
+
 void fault_proxy::ClearFaults() {
   *conditions_ = conditions();
 }
--- a/soak/fault_proxy.h
+++ b/soak/fault_proxy.h
@@ -37,6 +37,8 @@
   // Stops all traffic on the open connections for good without closing them;
   // new connections work.
   void SilenceOpenConnections();
+  // Resets the connections that SilenceOpenConnections() has silenced.
+  void ResetSilencedConnections();
   // Ends delays, blocked directions and refusals; silenced connections stay
   // silent.
   void ClearFaults();
--- a/soak/invariant_checker.cc
+++ b/soak/invariant_checker.cc
@@ -76,7 +76,8 @@
   if (!conditions.is_undisturbed)
     return;
   if (end.has_timed_out)
-    AddViolation("requests end in time", id + " got no answer");
+    AddViolation("requests end in time",
+                 DescribeCut(record, end, conditions, now));
   const bool is_cut = end.failure == http::call_failure::broken ||
                       end.failure == http::call_failure::malformed;
   if (!is_cut)
