Soak: runs with the same seed do not share ports

Cause: the ports followed from the seed, and both runs found them free at the same time. Change: the ports follow from the process id.

--- a/soak/main.cc
+++ b/soak/main.cc
@@ -49,7 +49,6 @@
               plan.program,
               plan.folder,
               plan.nodes,
-              plan.seed,
               plan.node_memory_kb),
         load_generator_(loop_, site_, checker_, random_engine(plan.seed)),
         prober_(loop_, site_, checker_),
--- a/soak/soak_site.cc
+++ b/soak/soak_site.cc
@@ -1,6 +1,7 @@
 #include "soak_site.h"
 
 #include <signal.h>
+#include <unistd.h>
 
 #include <boost/asio/ip/udp.hpp>
 #include <stdexcept>
@@ -57,7 +58,6 @@
                      const std::string& program,
                      const std::string& folder,
                      int nodes,
-                     uint64_t seed,
                      int64_t node_memory_kb)
     : loop_(loop),
       checker_(checker),
@@ -71,9 +71,10 @@
   ChangeConfiguration();
   for (const site_endpoint& endpoint : endpoints_)
     Publish(endpoint);
-  // Spreads the ports by seed, because runs with other seeds may share the
-  // machine.
-  auto port = static_cast<uint16_t>(kLowestPort + seed * 97 % kPortRange);
+  // Spreads the ports by process, because other runs may share the machine,
+  // also with the same seed.
+  auto port = static_cast<uint16_t>(
+      kLowestPort + static_cast<uint64_t>(::getpid()) * 97 % kPortRange);
   nodes_.resize(static_cast<std::size_t>(nodes));
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     while (!ArePortsFree(loop, port))
--- a/soak/soak_site.h
+++ b/soak/soak_site.h
@@ -56,7 +56,6 @@
             const std::string& program,
             const std::string& folder,
             int nodes,
-            uint64_t seed,
             int64_t node_memory_kb);
 
   // Allowances of the teams whose token use is checked.
