Tell peers which rows a read of the whole table lacked

Cause: a node that reads a table for its zone reads all of it when the store no longer has the changes. The rows that were missing from that read disappeared from its own copy only. They were not sent to the zone, and the digests did not show them, because they compared the newest row version, which a removal by absence does not raise.

A whole read now yields the net difference to the previous rows, in which a missing row counts as removed at the version of the read. It is broadcast like any other change. Copies are compared by the version as of which they are complete: a message names the versions to which it applies, and a peer's digest confirms a copy only if that peer knows every change since the copy's version.

The format of the datagrams changes (6), so that nodes of both releases form separate groups during an update. New gauge jasminepath_reads_endpoints.

--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -61,6 +61,18 @@
   friend bool operator==(const crash_count&, const crash_count&) = default;
 };
 
+// How recent a node's copy of a table of the store is. All fields are versions.
+struct table_status {
+  // The last change that the node knows.
+  int64_t last_change = 0;
+  // The version as of which its copy is complete; 0 without a copy.
+  int64_t complete_to = 0;
+  // The version from which on it knows every change.
+  int64_t history_from = 0;
+
+  friend bool operator==(const table_status&, const table_status&) = default;
+};
+
 // State that a node sends to its peers several times a second, or the
 // aggregated state of a zone, sent to other zones by the zone's representative.
 // Each digest is self-contained, so that a lost one does no harm.
@@ -82,10 +94,9 @@
   int64_t interval_ms = ToMilliseconds(kDigestInterval);
   // Address (IP:PORT) that serves the sender's table copies.
   std::string table_server_address;
-  // Versions of the last change that the sender knows, of the configuration and
-  // of the endpoint list.
-  int64_t site_change = 0;
-  int64_t endpoints_change = 0;
+  // The sender's copies of the configuration and of the endpoint list.
+  table_status site_table;
+  table_status endpoint_table;
   // The placement authority, if its holder is among the covered nodes: the
   // holder, its fencing token, and the version of the authority's row. Empty
   // and 0 otherwise.
@@ -146,15 +157,20 @@
   // Address (IP:PORT) that serves the table copies of the node that has read
   // the changes.
   std::string table_server_address;
-  // Versions: of the last change before these, of the last of these, and the
-  // version at which a copy that has applied them is complete.
-  int64_t previous_change = 0;
-  int64_t last_change = 0;
+  // A copy that is complete as of a version from `valid_from` to `valid_to` is
+  // complete as of `complete_to` once it has applied the rows. If `valid_to` is
+  // less than `complete_to`, the rows are a net difference, in which rows that
+  // came and went are missing.
+  int64_t valid_from = 0;
+  int64_t valid_to = 0;
   int64_t complete_to = 0;
-  // `rows` holds all rows of the table.
+  // Version of the last of the changes.
+  int64_t last_change = 0;
+  // `rows` holds all rows of the table; any copy can apply them.
   bool is_snapshot = false;
-  // Ordered by version. Empty if the rows are too many or too large to
-  // broadcast and must be fetched.
+  // The rows are too many or too large to broadcast and must be fetched.
+  bool rows_omitted = false;
+  // Ordered by version.
   std::vector<changed_row> rows;
 
   friend bool operator==(const table_changes&, const table_changes&) = default;
--- a/packages/gateway/src/gateway_metrics.cc
+++ b/packages/gateway/src/gateway_metrics.cc
@@ -53,6 +53,9 @@
         gauges.blocked_parts);
   gauge("jasminepath_holds_placement", "Whether this node places models.",
         gauges.holds_placement ? 1 : 0);
+  gauge("jasminepath_reads_endpoints",
+        "Whether this node reads the endpoint list for its zone.",
+        gauges.reads_endpoints ? 1 : 0);
   gauge("jasminepath_ready", "Whether this node takes connections.",
         gauges.ready ? 1 : 0);
   return text.text();
--- a/packages/gateway/src/gateway_metrics.h
+++ b/packages/gateway/src/gateway_metrics.h
@@ -23,6 +23,7 @@
   int64_t orders = 0;
   int64_t blocked_parts = 0;
   bool holds_placement = false;
+  bool reads_endpoints = false;
   bool ready = false;
 
   friend bool operator==(const gateway_gauges&,
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -272,6 +272,7 @@
   gauges.blocked_parts = part_suspects_.BlockedCount(boot_clock::now());
   gauges.orders = order_dispatcher_.sent_orders();
   gauges.holds_placement = order_dispatcher_.IsHolder(boot_clock::now());
+  gauges.reads_endpoints = endpoint_rows_.is_polling();
   gauges.ready = IsReady();
   return gauges;
 }
@@ -449,10 +450,10 @@
   limiter_.OnDigest(digest, now);
   suspects_.OnDigest(digest, now);
   order_dispatcher_.OnDigest(digest, now);
-  for (auto [table, change] :
-       {std::pair{&site_rows_, digest.site_change},
-        std::pair{&endpoint_rows_, digest.endpoints_change}}) {
-    if (table->IsBehind(revision(change), now))
+  for (auto [table, status] :
+       {std::pair{&site_rows_, digest.site_table},
+        std::pair{&endpoint_rows_, digest.endpoint_table}}) {
+    if (table->IsBehind(status, now))
       relay_.Fetch(digest.table_server_address, digest.node, *table);
   }
   if (order_dispatcher_.IsHolder(now))
@@ -491,8 +492,8 @@
   digest.sequence = ++digest_sequence_;
   digest.interval_ms = ToMilliseconds(DigestInterval(now));
   digest.table_server_address = settings_.metrics_address();
-  digest.site_change = site_rows_.copy().last_change().count();
-  digest.endpoints_change = endpoint_rows_.copy().last_change().count();
+  digest.site_table = site_rows_.copy().status();
+  digest.endpoint_table = endpoint_rows_.copy().status();
   if (order_dispatcher_.IsHolder(now)) {
     digest.authority_holder = settings_.node;
     digest.authority_epoch = order_dispatcher_.lease().fencing().count();
@@ -522,8 +523,8 @@
     zone_digest.incarnation = digest.incarnation;
     zone_digest.sequence = digest.sequence;
     zone_digest.table_server_address = digest.table_server_address;
-    zone_digest.site_change = digest.site_change;
-    zone_digest.endpoints_change = digest.endpoints_change;
+    zone_digest.site_table = digest.site_table;
+    zone_digest.endpoint_table = digest.endpoint_table;
     peers_.SendZoneDigest(zone_digest, holder, now);
   }
   SendCrashReports(now);
--- a/packages/gateway/src/peer_digest.cc
+++ b/packages/gateway/src/peer_digest.cc
@@ -13,7 +13,7 @@
 namespace {
 
 // Version of the message format. Messages of other versions are rejected.
-constexpr uint32_t kFormat = 5;
+constexpr uint32_t kFormat = 6;
 // Maximum nesting depth of arrays in a message.
 constexpr std::size_t kMaxNestingDepth = 8;
 // Maximum uncompressed size of a table received from a peer.
@@ -41,13 +41,18 @@
   visit(m.fingerprint, m.crashes);
 }
 template <typename Message, typename Visitor>
+requires std::is_same_v<std::remove_const_t<Message>, table_status>
+void ForEachField(Message& m, Visitor&& visit) {
+  visit(m.last_change, m.complete_to, m.history_from);
+}
+template <typename Message, typename Visitor>
 requires std::is_same_v<std::remove_const_t<Message>, peer_digest>
 void ForEachField(Message& m, Visitor&& visit) {
   visit(m.node, m.zone, m.cpu_millicores, m.nodes, m.is_zone_digest,
         m.incarnation, m.sequence, m.interval_ms, m.table_server_address,
-        m.site_change, m.endpoints_change, m.authority_holder,
-        m.authority_epoch, m.authority_version, m.teams, m.endpoints, m.models,
-        m.unreachable, m.crashes, m.has_demand, m.leaving);
+        m.site_table, m.endpoint_table, m.authority_holder, m.authority_epoch,
+        m.authority_version, m.teams, m.endpoints, m.models, m.unreachable,
+        m.crashes, m.has_demand, m.leaving);
 }
 template <typename Message, typename Visitor>
 requires std::is_same_v<std::remove_const_t<Message>, load_notice>
@@ -64,8 +69,8 @@
 template <typename Message, typename Visitor>
 requires std::is_same_v<std::remove_const_t<Message>, table_changes>
 void ForEachField(Message& m, Visitor&& visit) {
-  visit(m.table, m.table_server_address, m.previous_change, m.last_change,
-        m.complete_to, m.is_snapshot, m.rows);
+  visit(m.table, m.table_server_address, m.valid_from, m.valid_to,
+        m.complete_to, m.last_change, m.is_snapshot, m.rows_omitted, m.rows);
 }
 
 template <typename Message, typename Visitor>
--- a/packages/gateway/src/peer_group.cc
+++ b/packages/gateway/src/peer_group.cc
@@ -40,6 +40,24 @@
   return {cpu_millicores, StableHash(node.value() + "/speaker")};
 }
 
+// Returns a position near the middle between two rows of different versions;
+// nullopt if all have the same version.
+std::optional<std::ptrdiff_t> SplitPosition(
+    const std::vector<changed_row>& rows) {
+  if (rows.empty())
+    return std::nullopt;
+  const auto [first, last] =
+      std::equal_range(rows.begin(), rows.end(), rows[rows.size() / 2],
+                       [](const changed_row& a, const changed_row& b) {
+                         return a.version < b.version;
+                       });
+  if (first != rows.begin())
+    return first - rows.begin();
+  if (last != rows.end())
+    return last - rows.begin();
+  return std::nullopt;
+}
+
 }  // namespace
 
 peer_group::peer_group(http::event_loop& loop,
@@ -224,19 +242,25 @@
   const std::string bytes = EncodePeerMessage(changes, self_);
   if (bytes.size() <= kMaxDatagramBytes)
     return BroadcastBytes(bytes);
-  if (changes.is_snapshot || changes.rows.size() < 2 ||
-      changes.rows.size() > kMaxBroadcastRows) {
+  const bool is_difference = changes.valid_to < changes.complete_to;
+  const auto middle = changes.is_snapshot || is_difference ||
+                              changes.rows.size() > kMaxBroadcastRows
+                          ? std::nullopt
+                          : SplitPosition(changes.rows);
+  if (!middle) {
     changes.rows.clear();
+    changes.rows_omitted = true;
     return BroadcastInZone(changes);
   }
   // Rows are ordered by version, so a table with the first half applied is
   // complete up to the last version in it.
-  const auto middle = changes.rows.begin() + std::ssize(changes.rows) / 2;
+  const auto second_half = changes.rows.begin() + *middle;
   table_changes first = changes;
-  first.rows.assign(changes.rows.begin(), middle);
-  first.last_change = first.complete_to = first.rows.back().version;
-  changes.rows.erase(changes.rows.begin(), middle);
-  changes.previous_change = first.last_change;
+  first.rows.assign(changes.rows.begin(), second_half);
+  first.last_change = first.complete_to = first.valid_to =
+      first.rows.back().version;
+  changes.rows.erase(changes.rows.begin(), second_half);
+  changes.valid_from = first.last_change;
   BroadcastChanges(std::move(first));
   BroadcastChanges(std::move(changes));
 }
--- a/packages/gateway/src/table_copy.h
+++ b/packages/gateway/src/table_copy.h
@@ -2,6 +2,7 @@
 #define JASMINEPATH_GATEWAY_SRC_TABLE_COPY_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -13,52 +14,65 @@
 namespace jasminepath::gateway {
 
 // A node's copy of a table of the store, with enough history to update peers
-// that lag behind. Does no I/O.
+// that lag behind. The copy is complete as of version(): it reflects every
+// change up to that version, and possibly some later ones. Does no I/O.
 class table_copy {
  public:
   explicit table_copy(std::string table) : table_(std::move(table)) {}
 
-  // Replaces the copy with all rows as of `version`. Returns false if the copy
-  // is newer.
-  bool ApplyRead(std::map<std::string, table_row> rows, revision version);
+  // Replaces the copy with the rows of a whole read that is complete as of
+  // `version`. Rows that the read lacks count as removed at that version.
+  // Returns the difference to the previous rows, for peers that had the same
+  // ones; nullopt if the copy is newer.
+  std::optional<table_changes> ApplyRead(std::map<std::string, table_row> rows,
+                                         revision version);
   // Applies polled changes that follow the copy's version, and advances it to
-  // `version`. Returns the changes that were new.
-  std::vector<changed_row> ApplyPolled(const std::vector<table_row>& changes,
-                                       revision version);
+  // `version`. Returns the changes, for peers.
+  table_changes ApplyPolled(const std::vector<table_row>& changes,
+                            revision version);
 
   enum class outcome { changed, unchanged, lacks_earlier_changes };
-  // Applies changes received from a peer. Nothing is applied if earlier changes
-  // are missing; those must be fetched.
+  // Applies changes received from a peer. Nothing is applied if the copy is
+  // older than these changes require; then they must be fetched.
   outcome ApplyChanges(const table_changes& changes);
 
-  // Returns the changes after `after`, or a snapshot if rows were removed since
-  // then whose removals are no longer stored.
+  // Takes over the version of a peer's copy if that copy provably has the same
+  // rows. Returns false if it is newer and may differ.
+  bool AdvanceTo(const table_status& peer);
+
+  // Returns the changes for a copy that is complete as of `after`, or a
+  // snapshot if the changes since then are not fully known.
   table_changes ChangesSince(revision after) const;
+  // Returns the lowest version with the same ChangesSince() as `after`; 0 if
+  // that is a snapshot.
+  revision EquivalentVersion(revision after) const;
 
   const std::string& table() const { return table_; }
   // The rows that exist.
   const std::map<std::string, table_row>& rows() const { return rows_; }
   // Whether the copy has been filled, by a read or by a snapshot of a peer.
   bool is_initialized() const { return is_initialized_; }
-  // Version at which the copy is complete.
+  // Version as of which the copy is complete.
   revision version() const { return version_; }
   // Returns and clears the keys of the rows that may have changed since the
   // previous call.
   std::set<std::string> TakeChangedKeys() {
     return std::exchange(changed_keys_, {});
   }
-  // Version of the last change in the copy. Unlike version(), it is equal on
-  // all nodes that know the same rows.
+  // Version of the last known change up to version().
   revision last_change() const { return last_change_; }
+  table_status status() const;
 
  private:
+  table_changes MakeChanges() const;
   outcome ApplySnapshot(const table_changes& changes);
   bool Apply(const table_row& row);
-  void RecordRemoval(const table_row& row);
-  // Replaces the copy. Removals before `version` are not fully known.
-  void Replace(std::map<std::string, table_row> rows,
-               revision version,
-               revision last_change);
+  void RecordRemoval(const std::string& key, revision version);
+  // Replaces the rows and returns those that differ, ordered by version.
+  std::vector<changed_row> Replace(std::map<std::string, table_row> rows,
+                                   revision version);
+  // Version of the last known change up to `version`.
+  revision LastChangeUpTo(revision version) const;
 
   std::string table_;
   std::map<std::string, table_row> rows_;
@@ -66,9 +80,14 @@
   bool is_initialized_ = false;
   revision version_;
   revision last_change_;
-  // Keys of removed rows since `history_from_`, by version of the removal.
-  std::map<revision, std::string> removals_;
+  // Keys of removed rows by version of the removal.
+  std::multimap<revision, std::string> removals_;
+  // Changes are known from `history_from_` on. Between `gap_from_` and
+  // `gap_to_`, which are equal if there is no gap, only their net effect is
+  // known: that part was covered by a read of the whole table.
   revision history_from_;
+  revision gap_from_;
+  revision gap_to_;
 };
 
 }  // namespace jasminepath::gateway
--- a/packages/gateway/src/table_follower.cc
+++ b/packages/gateway/src/table_follower.cc
@@ -64,8 +64,14 @@
   }
   // A read of several pages is only as recent as its first page; later changes
   // arrive with the polls.
-  if (copy_.ApplyRead(std::move(incoming_), answer.page.version))
+  const bool is_first_read = !copy_.is_initialized();
+  const auto changes =
+      copy_.ApplyRead(std::move(incoming_), answer.page.version);
+  if (changes && (is_first_read || !changes->rows.empty()))
     on_change_();
+  // Peers need to know which rows the read lacked.
+  if (changes && !is_first_read)
+    Publish(*changes);
   incoming_.clear();
   from_key_.clear();
   Poll();
@@ -99,21 +105,21 @@
   if (answer.status != store_status::done)
     return Retry();
   failures_ = 0;
-  table_changes changes;
-  changes.table = copy_.table();
-  changes.previous_change = copy_.last_change().count();
-  changes.rows = copy_.ApplyPolled(answer.page.rows, answer.page.version);
+  const table_changes changes =
+      copy_.ApplyPolled(answer.page.rows, answer.page.version);
   if (!changes.rows.empty()) {
     behind_since_.reset();
-    changes.last_change = copy_.last_change().count();
-    changes.complete_to = copy_.version().count();
-    if (on_changes_)
-      on_changes_(changes);
+    Publish(changes);
     on_change_();
   }
   timer_.Start(spacing_, [this] { Poll(); });
 }
 
+void table_follower::Publish(const table_changes& changes) {
+  if (on_changes_)
+    on_changes_(changes);
+}
+
 bool table_follower::ApplyChanges(const table_changes& changes) {
   // The first read is in progress; later digests show what it misses.
   if (!copy_.is_initialized() && !changes.is_snapshot)
@@ -140,11 +146,13 @@
   });
 }
 
-bool table_follower::IsBehind(revision last_change, time_point now) {
-  if (last_change <= copy_.last_change())
-    return false;
+bool table_follower::IsBehind(const table_status& peer, time_point now) {
   if (!copy_.is_initialized())
-    return failures_ > 0 || now - started_at_ > kFirstReadTimeout;
+    return peer.complete_to > 0 &&
+           (failures_ > 0 || now - started_at_ > kFirstReadTimeout);
+  copy_.AdvanceTo(peer);
+  if (revision(peer.last_change) <= copy_.version())
+    return false;
   if (should_poll_ && failures_ > 0)
     return true;
   if (!behind_since_)
--- a/packages/gateway/src/table_follower.h
+++ b/packages/gateway/src/table_follower.h
@@ -37,6 +37,7 @@
   // Sets whether this node polls the store for changes or relies on a peer that
   // forwards them.
   void SetPolling(bool should_poll);
+  bool is_polling() const { return should_poll_; }
   // Sets the receiver of changes that this node has read from the store.
   void OnChanges(std::function<void(const table_changes& changes)> callback) {
     on_changes_ = std::move(callback);
@@ -49,17 +50,18 @@
   // See table_copy::TakeChangedKeys().
   std::set<std::string> TakeChangedKeys() { return copy_.TakeChangedKeys(); }
 
-  // Checks the version of the last change that a peer knows. Returns true if
-  // this copy has lacked a newer change for longer than the store usually needs
-  // to deliver it, so that the caller should fetch it from the peer. Also
-  // restarts a pending poll, whose connection may have gone silent.
-  bool IsBehind(revision last_change, time_point now);
+  // Compares this copy with that of a peer. Returns true if it has lacked a
+  // change that the peer knows for longer than the store usually needs to
+  // deliver it, so that the caller should fetch it from the peer. Also restarts
+  // a pending poll, whose connection may have gone silent.
+  bool IsBehind(const table_status& peer, time_point now);
 
  private:
   void ReadNext();
   void Poll();
   void OnRead(const store_answer& answer);
   void OnPolled(const store_answer& answer);
+  void Publish(const table_changes& changes);
   void Retry();
 
   store_client& store_;
--- a/packages/gateway/src/table_relay.cc
+++ b/packages/gateway/src/table_relay.cc
@@ -15,9 +15,9 @@
 // Limit on a fetched table, whose rows are compressed.
 constexpr std::size_t kMaxTableBytes = std::size_t{8} << 20;
 
-// Version of the last change that the peer knows; 0 if the target has no such
+// Version as of which the peer's copy is complete; 0 if the target has no such
 // parameter.
-revision ParseKnownChange(std::string_view target) {
+revision ParseKnownVersion(std::string_view target) {
   const std::size_t query = target.find(kAfterParameter);
   if (query == std::string_view::npos)
     return {};
@@ -39,11 +39,15 @@
 const std::string& table_relay::Answer(const table_follower& table,
                                        std::string_view target) {
   const table_copy& copy = table.copy();
-  const revision after = ParseKnownChange(target);
+  const revision after = ParseKnownVersion(target);
   cached_answer& known = answers_[copy.table()];
-  if (known.body.empty() || known.after != after ||
+  // Peers with different versions mostly lack the same changes.
+  const revision since = copy.EquivalentVersion(after);
+  const revision history_from = revision(copy.status().history_from);
+  if (known.body.empty() || known.since != since ||
+      known.history_from != history_from ||
       known.last_change != copy.last_change())
-    known = {after, copy.last_change(),
+    known = {since, history_from, copy.last_change(),
              EncodePeerMessage(copy.ChangesSince(after))};
   return known.body;
 }
@@ -58,7 +62,7 @@
   http::request message;
   message.method = "GET";
   message.target = PathOfTable(table) + std::string(kAfterParameter) +
-                   std::to_string(table.copy().last_change().count());
+                   std::to_string(table.copy().version().count());
   message.headers.Add("Host", table_server_address);
   call_ = std::make_unique<http::buffered_call>(
       loop_, *client_, message, kFetchTimeout, kMaxTableBytes,
--- a/packages/gateway/src/table_relay.h
+++ b/packages/gateway/src/table_relay.h
@@ -22,7 +22,7 @@
   table_relay(http::event_loop& loop, report::event_log& log);
 
   // Path at which a node serves its copy of the table. The query string names
-  // the last change that the peer knows.
+  // the version as of which the peer's copy is complete.
   static std::string PathOfTable(const table_follower& table);
   // Returns the body of the answer to such a request.
   const std::string& Answer(const table_follower& table,
@@ -42,7 +42,8 @@
   // Last answer for a table. After a large change many nodes request the same
   // rows, and compressing them takes time.
   struct cached_answer {
-    revision after;
+    revision since;
+    revision history_from;
     revision last_change;
     std::string body;
   };
--- a/packages/gateway/tests/peer_digest_test.cc
+++ b/packages/gateway/tests/peer_digest_test.cc
@@ -22,8 +22,8 @@
   digest.sequence = 4;
   digest.interval_ms = 600;
   digest.table_server_address = "10.0.0.1:7601";
-  digest.site_change = 5;
-  digest.endpoints_change = 6;
+  digest.site_table = {5, 7, 3};
+  digest.endpoint_table = {6, 8, 4};
   digest.authority_holder = vm_id("n2");
   digest.authority_epoch = 7;
   digest.authority_version = 8;
@@ -69,7 +69,8 @@
   table_changes changes;
   changes.table = "servers";
   changes.is_snapshot = true;
-  changes.previous_change = 1;
+  changes.valid_from = 1;
+  changes.valid_to = 2;
   changes.last_change = 2;
   changes.complete_to = 3;
   for (int64_t i = 0; i < 50; ++i) {
--- a/packages/gateway/tests/peer_group_test.cc
+++ b/packages/gateway/tests/peer_group_test.cc
@@ -210,14 +210,14 @@
   std::mt19937_64 random(5);
   table_changes changes;
   changes.table = "servers";
-  changes.previous_change = 10;
+  changes.valid_from = 10;
   for (int64_t i = 1; i <= kRows; ++i) {
     std::string value;
     for (int word = 0; word < 6; ++word)
       value += std::to_string(random());
     changes.rows.push_back({"e" + std::to_string(i), value, 10 + i, false});
   }
-  changes.last_change = changes.complete_to = 10 + kRows;
+  changes.last_change = changes.complete_to = changes.valid_to = 10 + kRows;
   zone.At(0).BroadcastChanges(changes);
   zone.RunUntilIdle();
   for (std::size_t i = 1; i < zone.size(); ++i) {
--- a/packages/gateway/tests/table_copy_test.cc
+++ b/packages/gateway/tests/table_copy_test.cc
@@ -77,8 +77,8 @@
   reader.ApplyPolled({Row("c", "1", 11)}, revision(11));
   table_changes changes;
   changes.table = "t";
-  changes.previous_change = 11;
-  changes.last_change = changes.complete_to = 12;
+  changes.valid_from = 11;
+  changes.last_change = changes.valid_to = changes.complete_to = 12;
   changes.rows = {{"d", "1", 12, false}};
   BOOST_TEST((peer.ApplyChanges(changes) ==
               table_copy::outcome::lacks_earlier_changes));
@@ -97,6 +97,70 @@
   BOOST_TEST(!reader.ChangesSince(revision(2000)).is_snapshot);
 }
 
+// Guards against peers that keep a row whose removal was only seen as a row
+// that a read of the whole table lacked.
+BOOST_FIXTURE_TEST_CASE(PeersLearnWhatAWholeReadLacks, copies_fixture) {
+  const auto changes = reader.ApplyRead(Rows({Row("b", "1", 9)}), revision(30));
+  BOOST_TEST_REQUIRE(changes.has_value());
+  BOOST_TEST(changes->rows.size() == 1U);
+  BOOST_TEST((peer.ApplyChanges(*changes) == table_copy::outcome::changed));
+  BOOST_TEST((peer.rows() == reader.rows()));
+  BOOST_TEST((peer.version() == revision(30)));
+}
+
+// As above, for a peer that missed the datagram.
+BOOST_FIXTURE_TEST_CASE(PeersFetchWhatAWholeReadLacks, copies_fixture) {
+  reader.ApplyRead(Rows({Row("b", "1", 9)}), revision(30));
+  BOOST_TEST(!peer.AdvanceTo(reader.status()));
+  BOOST_TEST(reader.status().last_change > peer.version().count());
+  const table_changes changes = reader.ChangesSince(peer.version());
+  BOOST_TEST(!changes.is_snapshot);
+  BOOST_TEST((peer.ApplyChanges(changes) == table_copy::outcome::changed));
+  BOOST_TEST((peer.rows() == reader.rows()));
+}
+
+// A row that came and went between the two reads is in neither of them, so that
+// a peer that has it needs all rows.
+BOOST_FIXTURE_TEST_CASE(DifferencesApplyToTheSameRowsOnly, copies_fixture) {
+  peer.ApplyPolled({Row("c", "1", 15)}, revision(16));
+  const auto changes = reader.ApplyRead(Rows({Row("b", "1", 9)}), revision(30));
+  BOOST_TEST_REQUIRE(changes.has_value());
+  BOOST_TEST((peer.ApplyChanges(*changes) ==
+              table_copy::outcome::lacks_earlier_changes));
+  BOOST_TEST(!peer.AdvanceTo(reader.status()));
+  const table_changes all = reader.ChangesSince(peer.version());
+  BOOST_TEST(all.is_snapshot);
+  BOOST_TEST((peer.ApplyChanges(all) == table_copy::outcome::changed));
+  BOOST_TEST((peer.rows() == reader.rows()));
+}
+
+// A node that has just started cannot know which rows were removed before.
+BOOST_FIXTURE_TEST_CASE(NewCopiesProveNothingAboutOlderOnes, copies_fixture) {
+  table_copy fresh("t");
+  fresh.ApplyRead(Rows({Row("b", "1", 9)}), revision(12));
+  BOOST_TEST(!peer.AdvanceTo(fresh.status()));
+  BOOST_TEST((peer.version() == revision(10)));
+}
+
+BOOST_FIXTURE_TEST_CASE(CopiesWithoutChangesAreConfirmed, copies_fixture) {
+  reader.ApplyPolled({}, revision(20));
+  BOOST_TEST(peer.AdvanceTo(reader.status()));
+  BOOST_TEST((peer.version() == revision(20)));
+  reader.ApplyPolled({Row("c", "1", 21)}, revision(22));
+  BOOST_TEST(!peer.AdvanceTo(reader.status()));
+  BOOST_TEST((peer.version() == revision(20)));
+}
+
+// Rows that a transaction writes together share a version.
+BOOST_FIXTURE_TEST_CASE(RowsOfOneTransactionAreAllApplied, copies_fixture) {
+  const table_changes changes = reader.ApplyPolled(
+      {Row("c", "1", 11), Row("d", "1", 11), Removal("a", 11)}, revision(11));
+  BOOST_TEST(changes.rows.size() == 3U);
+  BOOST_TEST(reader.rows().size() == 3U);
+  BOOST_TEST((peer.ApplyChanges(changes) == table_copy::outcome::changed));
+  BOOST_TEST((peer.rows() == reader.rows()));
+}
+
 // Users of the copy only look at rows that may have changed.
 BOOST_AUTO_TEST_CASE(ReportsKeysOfChangedRows) {
   table_copy copy("servers");
