Let nodes read a table themselves if nobody confirms their copy

Cause: the duty to read follows from a node's rank among the live nodes of its zone alone. A reader that the store turns away, or whose connection has fallen silent, stays the reader, and the others cannot tell an old copy from one that has not changed.

Each digest now states when the sender itself last heard from the store, and a copy remembers when it was last known to be up to date: by an answer of the store, or by a peer that did and whose history proves that nothing is missing. Statements are never passed on with a new time, so that an old copy does not look more recent with each node. After 1.1 s (endpoint list) or 1.3 s (configuration) without such a proof a node reads the changes itself, later ones by 80 ms for each rank, and broadcasts the answer, so that as a rule one call serves a zone. A node that the store does not serve either fetches from a peer whose copy is newer. Readers poll for 0.5 s and 1 s instead of 2 s, which is what their statements rest on.

New log line table_unconfirmed, new gauge jasminepath_endpoint_list_age_seconds.

--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -61,14 +61,18 @@
   friend bool operator==(const crash_count&, const crash_count&) = default;
 };
 
-// How recent a node's copy of a table of the store is. All fields are versions.
+// How recent a node's copy of a table of the store is.
 struct table_status {
-  // The last change that the node knows.
+  // Version of the last change that the node knows.
   int64_t last_change = 0;
-  // The version as of which its copy is complete; 0 without a copy.
+  // Version as of which its copy is complete; 0 without a copy.
   int64_t complete_to = 0;
-  // The version from which on it knows every change.
+  // Version from which on it knows every change.
   int64_t history_from = 0;
+  // Time since the node itself has read the changes from the store, in
+  // milliseconds. What it knows from peers doesn't count: that would look more
+  // recent each time it is passed on.
+  int64_t age_ms = 0;
 
   friend bool operator==(const table_status&, const table_status&) = default;
 };
@@ -170,6 +174,9 @@
   bool is_snapshot = false;
   // The rows are too many or too large to broadcast and must be fetched.
   bool rows_omitted = false;
+  // The sender has just received them from the store, so that a copy which is
+  // complete as of `complete_to` is up to date.
+  bool is_current = false;
   // Ordered by version.
   std::vector<changed_row> rows;
 
--- a/packages/gateway/src/gateway_metrics.cc
+++ b/packages/gateway/src/gateway_metrics.cc
@@ -56,6 +56,9 @@
   gauge("jasminepath_reads_endpoints",
         "Whether this node reads the endpoint list for its zone.",
         gauges.reads_endpoints ? 1 : 0);
+  text.Gauge("jasminepath_endpoint_list_age_seconds",
+             "Time since the endpoint list was known to be up to date.", {},
+             ToSeconds(gauges.endpoint_list_age));
   gauge("jasminepath_ready", "Whether this node takes connections.",
         gauges.ready ? 1 : 0);
   return text.text();
--- a/packages/gateway/src/gateway_metrics.h
+++ b/packages/gateway/src/gateway_metrics.h
@@ -24,6 +24,7 @@
   int64_t blocked_parts = 0;
   bool holds_placement = false;
   bool reads_endpoints = false;
+  duration endpoint_list_age{};
   bool ready = false;
 
   friend bool operator==(const gateway_gauges&,
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -28,10 +28,14 @@
 constexpr int64_t kSiteReadersPerZone = 2;
 // Number of nodes of a zone that watch the placement lease and may take it.
 constexpr int64_t kPlacementCandidatesPerZone = 1;
-// Pauses between two polls. The endpoint list changes all the time;
-// configuration changes have to take effect soon.
-constexpr duration kEndpointPollSpacing = Milliseconds(250);
-constexpr duration kSitePollSpacing = Milliseconds(120);
+// The endpoint list changes all the time; configuration changes have to take
+// effect soon. The site allows two seconds from a change in the store to its
+// effect on every node; within them, a node that no longer hears of changes has
+// to notice that and to read them itself.
+constexpr follower_timing kEndpointTiming{Milliseconds(250), Milliseconds(500),
+                                          Milliseconds(1100)};
+constexpr follower_timing kSiteTiming{Milliseconds(120), Milliseconds(1000),
+                                      Milliseconds(1300)};
 // Time after the start in which the first digests of peers arrive, so that not
 // every new node assumes that it is the first of its zone.
 constexpr duration kStartupSettleTime = Milliseconds(600);
@@ -91,13 +95,13 @@
       site_rows_(loop_,
                  store_,
                  codec_.configuration_table(),
-                 kSitePollSpacing,
+                 kSiteTiming,
                  random_,
                  [this] { OnSiteRows(); }),
       endpoint_rows_(loop_,
                      store_,
                      codec_.endpoint_table(),
-                     kEndpointPollSpacing,
+                     kEndpointTiming,
                      random_,
                      [this] { OnEndpointRows(); }),
       order_dispatcher_(loop_,
@@ -272,6 +276,7 @@
   gauges.blocked_parts = part_suspects_.BlockedCount(boot_clock::now());
   gauges.orders = order_dispatcher_.sent_orders();
   gauges.holds_placement = order_dispatcher_.IsHolder(boot_clock::now());
+  gauges.endpoint_list_age = endpoint_rows_.Age(boot_clock::now());
   gauges.reads_endpoints = endpoint_rows_.is_polling();
   gauges.ready = IsReady();
   return gauges;
@@ -414,7 +419,7 @@
   if (const auto* changes = std::get_if<table_changes>(&message)) {
     for (table_follower* table : {&site_rows_, &endpoint_rows_}) {
       if (table->copy().table() == changes->table &&
-          !table->ApplyChanges(*changes))
+          !table->ApplyChanges(*changes, boot_clock::now()))
         relay_.Fetch(changes->table_server_address, {}, *table);
     }
     return;
@@ -492,8 +497,8 @@
   digest.sequence = ++digest_sequence_;
   digest.interval_ms = ToMilliseconds(DigestInterval(now));
   digest.table_server_address = settings_.metrics_address();
-  digest.site_table = site_rows_.copy().status();
-  digest.endpoint_table = endpoint_rows_.copy().status();
+  digest.site_table = site_rows_.Status(now);
+  digest.endpoint_table = endpoint_rows_.Status(now);
   if (order_dispatcher_.IsHolder(now)) {
     digest.authority_holder = settings_.node;
     digest.authority_epoch = order_dispatcher_.lease().fencing().count();
@@ -609,6 +614,8 @@
 void gateway_node::UpdateDuties(time_point now) {
   const bool settled = now - started_at_ > kStartupSettleTime;
   const int64_t rank = peers_.RankInZone(now);
+  if (settled)
+    ConfirmTables(rank, now);
   endpoint_rows_.SetPolling(settled && rank < kEndpointReadersPerZone);
   site_rows_.SetPolling(settled && rank < kSiteReadersPerZone);
   order_dispatcher_.SetCandidate(settled && rank < kPlacementCandidatesPerZone,
@@ -630,6 +637,18 @@
               {"zone_nodes", peers_.zone_node_count()}});
 }
 
+// Reads tables whose readers have fallen silent or are not served.
+void gateway_node::ConfirmTables(int64_t rank, time_point now) {
+  for (table_follower* table : {&site_rows_, &endpoint_rows_}) {
+    if (table->ReadIfUnconfirmed(rank, now))
+      log_.Write(report::log_level::info, "table_unconfirmed",
+                 {{"table", table->copy().table()},
+                  {"age_ms", ToMilliseconds(table->Age(now))},
+                  {"version", table->copy().version().count()},
+                  {"rank", rank}});
+  }
+}
+
 void gateway_node::BeginStop() {
   if (stopping_)
     return;
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -67,6 +67,7 @@
 
   void Tick();
   void UpdateDuties(time_point now);
+  void ConfirmTables(int64_t rank, time_point now);
   void ApplyNotice(const load_notice& notice, time_point now);
   void WatchSignals();
   void Reload();
--- a/packages/gateway/src/peer_digest.cc
+++ b/packages/gateway/src/peer_digest.cc
@@ -43,7 +43,7 @@
 template <typename Message, typename Visitor>
 requires std::is_same_v<std::remove_const_t<Message>, table_status>
 void ForEachField(Message& m, Visitor&& visit) {
-  visit(m.last_change, m.complete_to, m.history_from);
+  visit(m.last_change, m.complete_to, m.history_from, m.age_ms);
 }
 template <typename Message, typename Visitor>
 requires std::is_same_v<std::remove_const_t<Message>, peer_digest>
@@ -70,7 +70,8 @@
 requires std::is_same_v<std::remove_const_t<Message>, table_changes>
 void ForEachField(Message& m, Visitor&& visit) {
   visit(m.table, m.table_server_address, m.valid_from, m.valid_to,
-        m.complete_to, m.last_change, m.is_snapshot, m.rows_omitted, m.rows);
+        m.complete_to, m.last_change, m.is_snapshot, m.rows_omitted,
+        m.is_current, m.rows);
 }
 
 template <typename Message, typename Visitor>
--- a/packages/gateway/src/peer_group.cc
+++ b/packages/gateway/src/peer_group.cc
@@ -259,6 +259,7 @@
   first.rows.assign(changes.rows.begin(), second_half);
   first.last_change = first.complete_to = first.valid_to =
       first.rows.back().version;
+  first.is_current = false;
   changes.rows.erase(changes.rows.begin(), second_half);
   changes.valid_from = first.last_change;
   BroadcastChanges(std::move(first));
--- a/packages/gateway/src/table_follower.cc
+++ b/packages/gateway/src/table_follower.cc
@@ -5,12 +5,8 @@
 namespace jasminepath::gateway {
 namespace {
 
-// Time that the store holds a poll without changes. Together with the poll's
-// timeout margin, it limits how long a silent connection hides changes that no
-// peer knows either; the site allows three seconds.
-constexpr duration kPollWait = Seconds(2);
-// The same after a failed call, shorter so that the store's recovery is noticed
-// soon.
+// Time that the store holds a poll after a failed call, short so that its
+// recovery is noticed soon.
 constexpr duration kRecoveryPollWait = Milliseconds(100);
 // Delay before the first retry of a failed call, and the maximum; the delay
 // doubles with each failure.
@@ -20,6 +16,10 @@
 // Shorter times would, after a restart of all nodes, make those that have read
 // first serve all others.
 constexpr duration kFirstReadTimeout = Milliseconds(1500);
+// Additional delay of a node's own read for each node of its zone that ranks
+// before it, and the highest rank that counts.
+constexpr duration kReadDelayPerRank = Milliseconds(80);
+constexpr int64_t kMaxReadRank = 5;
 // Time that the store has to deliver a change that a peer already knows.
 constexpr duration kBehindTimeout = Milliseconds(300);
 
@@ -28,11 +28,11 @@
 table_follower::table_follower(http::event_loop& loop,
                                store_client& store,
                                std::string table,
-                               duration spacing,
+                               const follower_timing& timing,
                                random_engine& random,
                                std::function<void()> on_change)
     : store_(store),
-      spacing_(spacing),
+      timing_(timing),
       random_(random),
       on_change_(std::move(on_change)),
       timer_(loop),
@@ -65,8 +65,10 @@
   // A read of several pages is only as recent as its first page; later changes
   // arrive with the polls.
   const bool is_first_read = !copy_.is_initialized();
+  reading_ = false;
   const auto changes =
       copy_.ApplyRead(std::move(incoming_), answer.page.version);
+  RecordRead(started_at_);
   if (changes && (is_first_read || !changes->rows.empty()))
     on_change_();
   // Peers need to know which rows the read lacked.
@@ -88,6 +90,7 @@
   timer_.Cancel();
   call_.reset();
   polling_ = false;
+  reading_ = false;
 }
 
 void table_follower::Poll() {
@@ -95,36 +98,68 @@
     return;
   polling_ = true;
   call_ = store_.Poll(copy_.table(), copy_.version(),
-                      failures_ > 0 ? kRecoveryPollWait : kPollWait,
+                      failures_ > 0 ? kRecoveryPollWait : timing_.poll_wait,
                       [this](const store_answer& a) { OnPolled(a); });
 }
 
+bool table_follower::ReadIfUnconfirmed(int64_t rank, time_point now) {
+  if (should_poll_ || reading_ || !copy_.is_initialized() ||
+      now < next_read_at_)
+    return false;
+  const duration delay = std::min(rank, kMaxReadRank) * kReadDelayPerRank;
+  if (!IsUnconfirmed(now - delay))
+    return false;
+  reading_ = true;
+  call_ = store_.Poll(copy_.table(), copy_.version(), duration::zero(),
+                      [this](const store_answer& a) { OnPolled(a); });
+  return true;
+}
+
 void table_follower::OnPolled(const store_answer& answer) {
   if (answer.status == store_status::history_gone)
     return Start();
   if (answer.status != store_status::done)
     return Retry();
   failures_ = 0;
+  reading_ = false;
+  RecordRead(boot_clock::now());
   const table_changes changes =
       copy_.ApplyPolled(answer.page.rows, answer.page.version);
+  // A node that does not poll has read because the zone lacks a confirmation.
+  if (!changes.rows.empty() || !should_poll_)
+    Publish(changes);
   if (!changes.rows.empty()) {
     behind_since_.reset();
-    Publish(changes);
     on_change_();
   }
-  timer_.Start(spacing_, [this] { Poll(); });
+  timer_.Start(timing_.spacing, [this] { Poll(); });
 }
 
-void table_follower::Publish(const table_changes& changes) {
+void table_follower::Publish(table_changes changes) {
+  changes.is_current = true;
   if (on_changes_)
     on_changes_(changes);
 }
 
-bool table_follower::ApplyChanges(const table_changes& changes) {
+void table_follower::RecordRead(time_point at) {
+  read_at_ = std::max(read_at_, at);
+  confirmed_at_ = std::max(confirmed_at_, at);
+}
+
+table_status table_follower::Status(time_point now) const {
+  table_status status = copy_.status();
+  status.age_ms = ToMilliseconds(now - read_at_);
+  return status;
+}
+
+bool table_follower::ApplyChanges(const table_changes& changes,
+                                  time_point now) {
   // The first read is in progress; later digests show what it misses.
   if (!copy_.is_initialized() && !changes.is_snapshot)
     return true;
   const table_copy::outcome outcome = copy_.ApplyChanges(changes);
+  if (changes.is_current && copy_.version() >= revision(changes.complete_to))
+    confirmed_at_ = now;
   if (outcome == table_copy::outcome::changed) {
     behind_since_.reset();
     on_change_();
@@ -136,9 +171,15 @@
   const duration max_delay = std::min(
       kInitialRetryDelay * (1 << std::min(failures_, 6)), kMaxRetryDelay);
   ++failures_;
-  std::uniform_int_distribution<int64_t> delay(max_delay.count() / 2,
-                                               max_delay.count());
-  timer_.Start(duration(delay(random_)), [this] {
+  std::uniform_int_distribution<int64_t> random_delay(max_delay.count() / 2,
+                                                      max_delay.count());
+  const duration delay(random_delay(random_));
+  if (copy_.is_initialized() && !should_poll_) {
+    reading_ = false;
+    next_read_at_ = boot_clock::now() + delay;
+    return;
+  }
+  timer_.Start(delay, [this] {
     if (copy_.is_initialized())
       Poll();
     else
@@ -150,8 +191,15 @@
   if (!copy_.is_initialized())
     return peer.complete_to > 0 &&
            (failures_ > 0 || now - started_at_ > kFirstReadTimeout);
-  copy_.AdvanceTo(peer);
-  if (revision(peer.last_change) <= copy_.version())
+  if (peer.complete_to == 0)
+    return false;
+  if (copy_.AdvanceTo(peer)) {
+    confirmed_at_ = std::max(confirmed_at_, now - Milliseconds(peer.age_ms));
+    return false;
+  }
+  const bool lacks_change = revision(peer.last_change) > copy_.version();
+  const bool is_cut_off = failures_ > 0 && IsUnconfirmed(now);
+  if (!lacks_change && !is_cut_off)
     return false;
   if (should_poll_ && failures_ > 0)
     return true;
--- a/packages/gateway/src/table_follower.h
+++ b/packages/gateway/src/table_follower.h
@@ -16,19 +16,29 @@
 
 namespace jasminepath::gateway {
 
+// When a table_follower calls the store.
+struct follower_timing {
+  // Pause between two polls, so that changes in quick succession arrive in one
+  // answer.
+  duration spacing;
+  // Time that the store holds a poll without changes.
+  duration poll_wait;
+  // Time without a proof that the copy is up to date after which a node that
+  // does not poll reads the changes itself.
+  duration confirmation_timeout;
+};
+
 // Maintains a copy of one table of the store: reads it once and then polls for
-// changes. Reads the table again when the store no longer has the changes. Rows
-// may also come from peers; a row never goes back to an older version. Runs on
-// the event loop.
+// changes, or relies on peers that do. Reads the table again when the store no
+// longer has the changes. Rows may also come from peers; a row never goes back
+// to an older version. Runs on the event loop.
 class table_follower {
  public:
-  // `spacing` is the pause between two polls, so that changes in quick
-  // succession arrive in one answer. `on_change` is called after each change of
-  // the copy.
+  // `on_change` is called after each change of the copy.
   table_follower(http::event_loop& loop,
                  store_client& store,
                  std::string table,
-                 duration spacing,
+                 const follower_timing& timing,
                  random_engine& random,
                  std::function<void()> on_change);
 
@@ -42,18 +52,28 @@
   void OnChanges(std::function<void(const table_changes& changes)> callback) {
     on_changes_ = std::move(callback);
   }
+  // Reads the changes from the store if neither a peer nor the store has proved
+  // for too long that the copy is up to date, although this node does not poll.
+  // Nodes with a higher `rank` wait longer, so that the first ones can inform
+  // the others. Returns whether a call was started.
+  bool ReadIfUnconfirmed(int64_t rank, time_point now);
   // Applies changes or a snapshot received from a peer. Returns false if
   // earlier changes are missing and must be fetched.
-  bool ApplyChanges(const table_changes& changes);
+  bool ApplyChanges(const table_changes& changes, time_point now);
 
   const table_copy& copy() const { return copy_; }
+  table_status Status(time_point now) const;
+  // Time since the copy was known to be up to date.
+  duration Age(time_point now) const { return now - confirmed_at_; }
   // See table_copy::TakeChangedKeys().
   std::set<std::string> TakeChangedKeys() { return copy_.TakeChangedKeys(); }
 
-  // Compares this copy with that of a peer. Returns true if it has lacked a
-  // change that the peer knows for longer than the store usually needs to
-  // deliver it, so that the caller should fetch it from the peer. Also restarts
-  // a pending poll, whose connection may have gone silent.
+  // Compares this copy with that of a peer, which may prove that this one is up
+  // to date. Returns true if the caller should fetch the changes from the peer:
+  // if this copy has lacked a change that the peer knows for longer than the
+  // store usually needs to deliver it, or if the store does not answer and the
+  // peer's copy is newer. Also restarts a pending poll, whose connection may
+  // have gone silent.
   bool IsBehind(const table_status& peer, time_point now);
 
  private:
@@ -61,11 +81,15 @@
   void Poll();
   void OnRead(const store_answer& answer);
   void OnPolled(const store_answer& answer);
-  void Publish(const table_changes& changes);
+  void Publish(table_changes changes);
+  void RecordRead(time_point at);
   void Retry();
+  bool IsUnconfirmed(time_point now) const {
+    return Age(now) >= timing_.confirmation_timeout;
+  }
 
   store_client& store_;
-  duration spacing_;
+  follower_timing timing_;
   random_engine& random_;
   std::function<void()> on_change_;
   http::timer timer_;
@@ -78,6 +102,14 @@
   // Whether this node polls the store, and whether a poll is pending.
   bool should_poll_ = true;
   bool polling_ = false;
+  // Whether a node that does not poll is reading from the store, and the
+  // earliest time of its next attempt.
+  bool reading_ = false;
+  time_point next_read_at_{};
+  // The last time at which the copy was up to date by an answer of the store,
+  // and by that or a peer's message.
+  time_point read_at_{};
+  time_point confirmed_at_{};
   // Start of the last read of the whole table, and the time since which a peer
   // has had newer changes.
   time_point started_at_{};
--- a/packages/gateway/src/table_relay.cc
+++ b/packages/gateway/src/table_relay.cc
@@ -89,7 +89,7 @@
     return;
   }
   const revision before = table.copy().version();
-  table.ApplyChanges(*changes);
+  table.ApplyChanges(*changes, boot_clock::now());
   if (table.copy().version() != before)
     log_.Write(report::log_level::info, "facts_adopted",
                {{"peer", peer.value()},
--- a/packages/gateway/tests/peer_digest_test.cc
+++ b/packages/gateway/tests/peer_digest_test.cc
@@ -22,8 +22,8 @@
   digest.sequence = 4;
   digest.interval_ms = 600;
   digest.table_server_address = "10.0.0.1:7601";
-  digest.site_table = {5, 7, 3};
-  digest.endpoint_table = {6, 8, 4};
+  digest.site_table = {5, 7, 3, 120};
+  digest.endpoint_table = {6, 8, 4, 90};
   digest.authority_holder = vm_id("n2");
   digest.authority_epoch = 7;
   digest.authority_version = 8;
