Count a read in pages as complete as of its first page

Cause: a read of a table in several pages took the version of its last page, although it lacks later changes of the rows on earlier pages, and the polls began after them.

The version of the first page counts now. Rows on later pages may be newer than that; the polls deliver them again, which has no effect here and informs peers.

--- a/packages/gateway/src/table_follower.cc
+++ b/packages/gateway/src/table_follower.cc
@@ -42,6 +42,7 @@
   started_at_ = boot_clock::now();
   from_key_.clear();
   incoming_.clear();
+  read_version_.reset();
   ReadNext();
 }
 
@@ -55,6 +56,8 @@
   if (answer.status != store_status::done)
     return Retry();
   failures_ = 0;
+  if (!read_version_)
+    read_version_ = answer.page.version;
   for (const table_row& row : answer.page.rows)
     incoming_[row.key] = row;
   if (answer.page.more && !answer.page.rows.empty()) {
@@ -62,12 +65,11 @@
     from_key_ = answer.page.rows.back().key + '\x01';
     return ReadNext();
   }
-  // A read of several pages is only as recent as its first page; later changes
-  // arrive with the polls.
+  // A read of several pages is only as recent as its first page: changes of the
+  // rows on earlier pages are missing. They arrive with the polls.
   const bool is_first_read = !copy_.is_initialized();
   reading_ = false;
-  const auto changes =
-      copy_.ApplyRead(std::move(incoming_), answer.page.version);
+  const auto changes = copy_.ApplyRead(std::move(incoming_), *read_version_);
   RecordRead(started_at_);
   if (changes && (is_first_read || !changes->rows.empty()))
     on_change_();
--- a/packages/gateway/src/table_follower.h
+++ b/packages/gateway/src/table_follower.h
@@ -95,8 +95,9 @@
   http::timer timer_;
   store_client::handle call_;
   table_copy copy_;
-  // Rows of the pages read so far.
+  // Rows of the pages read so far, and the version of the first page.
   std::map<std::string, table_row> incoming_;
+  std::optional<revision> read_version_;
   std::string from_key_;
   std::function<void(const table_changes&)> on_changes_;
   // Whether this node polls the store, and whether a poll is pending.
