Bound the answers of faulty engines in the own interface

Other operators reported a machine that ran out of memory because a faulty server sent bytes without end. On the node's own interface each of the four poll threads kept up to 16 MB of an engine's answer and parsed them as one JSON document, which takes many times the memory of its text; interim heads and trailers were read on until the call's deadline.

Answers to control calls are limited to 256 KiB and 2 MiB (cache events) and to 100,000 JSON elements, interim heads and trailers to 64 KiB each. What was limited before (heads, chunk lines, events) stays so. FetchWhole() is the one place that buffers an answer.

--- a/packages/endpoint/src/body_decoder.cc
+++ b/packages/endpoint/src/body_decoder.cc
@@ -10,6 +10,8 @@
 constexpr std::string_view kLineEnd = "\r\n";
 // Longest chunk-size or trailer line.
 constexpr std::size_t kMaxLineBytes = 8 * 1024;
+// Limit on all trailer lines.
+constexpr std::size_t kMaxTrailerBytes = 64 * 1024;
 constexpr int kHexBase = 16;
 
 // Removes one line from the front of `input`; returns it without its line end.
@@ -69,6 +71,11 @@
     }
     if (position_ == position::trailer && line->empty())
       return decode_state::complete;
+    if (position_ == position::trailer) {
+      trailer_bytes_ += line->size() + kLineEnd.size();
+      if (trailer_bytes_ > kMaxTrailerBytes)
+        return decode_state::malformed;
+    }
     if (position_ == position::chunk_end) {
       if (!line->empty())
         return decode_state::malformed;
--- a/packages/endpoint/src/body_decoder.h
+++ b/packages/endpoint/src/body_decoder.h
@@ -1,6 +1,7 @@
 #ifndef JASMINEPATH_ENDPOINT_BODY_DECODER_H_
 #define JASMINEPATH_ENDPOINT_BODY_DECODER_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -35,6 +36,7 @@
   position position_;
   // Remaining bytes of the body or of the current chunk.
   uint64_t remaining_bytes_;
+  std::size_t trailer_bytes_ = 0;
 };
 
 }  // namespace jasminepath::endpoint
--- a/packages/endpoint/src/engine_client.cc
+++ b/packages/endpoint/src/engine_client.cc
@@ -7,11 +7,13 @@
 #include <Poco/JSON/Parser.h>
 #include <Poco/URI.h>
 
+#include <algorithm>
 #include <sstream>
 #include <utility>
 #include <vector>
 
 #include "jasminepath/base/random.h"
+#include "jasminepath/endpoint/whole_answer.h"
 
 namespace jasminepath::endpoint {
 namespace {
@@ -20,7 +22,13 @@
 using json_array = Poco::JSON::Array;
 
 constexpr std::size_t kRequestIdBytes = 16;
-constexpr std::size_t kMaxAnswerBytes = 16 * 1024 * 1024;
+// Limits on an engine's answers: a list of cache events, and any other answer.
+constexpr std::size_t kMaxEventsBytes = 2 * 1024 * 1024;
+constexpr std::size_t kMaxAnswerBytes = 256 * 1024;
+// Limit on the elements of a JSON document, which take many times the memory of
+// their text once parsed.
+constexpr std::size_t kMaxJsonElements = 100'000;
+constexpr char kTooManyElements[] = "the answer has too many elements";
 constexpr int kOkStatus = 200;
 constexpr int kAcceptedStatus = 202;
 constexpr int kNoContentStatus = 204;
@@ -28,26 +36,6 @@
 constexpr int kConflictStatus = 409;
 constexpr int kNoMemoryStatus = 507;
 
-// Collects the body of an answer up to kMaxAnswerBytes.
-struct collecting_sink {
-  int status = 0;
-  std::string body;
-
-  void OnHead(int received_status, const std::vector<header>&) {
-    status = received_status;
-  }
-  bool OnBody(std::string_view data) {
-    body.append(data);
-    return body.size() <= kMaxAnswerBytes;
-  }
-};
-
-// The complete answer to a control call.
-struct control_answer {
-  int status = 0;
-  std::string body;
-};
-
 std::string EncodePathPart(const std::string& text) {
   std::string encoded;
   Poco::URI::encode(text, "/?#&%", encoded);
@@ -76,23 +64,29 @@
   return {kind, std::string(ToString(failure.kind)) + ": " + failure.detail};
 }
 
-result<control_answer, engine_error> Exchange(const outbound_request& request,
-                                              duration timeout) {
-  cancellation never_cancelled;
-  collecting_sink sink;
+result<whole_answer, engine_error> Exchange(
+    const outbound_request& request,
+    duration timeout,
+    std::size_t max_body_bytes = kMaxAnswerBytes) {
   const exchange_deadlines deadlines{boot_clock::now() + timeout, timeout,
                                      timeout};
-  auto done = Run(request, sink, never_cancelled, deadlines);
-  if (!done)
-    return ToEngineError(done.error());
-  return control_answer{sink.status, std::move(sink.body)};
+  auto answer = FetchWhole(request, deadlines, max_body_bytes);
+  if (!answer)
+    return ToEngineError(answer.error());
+  return std::move(answer).value();
 }
 
 engine_error Malformed(const std::string& detail) {
   return {engine_error_kind::malformed, detail};
 }
 
+// Throws a Poco exception if the text is not a JSON object.
 json_object::Ptr ParseObject(const std::string& text) {
+  const auto elements = std::count_if(text.begin(), text.end(), [](char c) {
+    return c == ',' || c == '[' || c == '{';
+  });
+  if (static_cast<std::size_t>(elements) > kMaxJsonElements)
+    throw Poco::DataFormatException(kTooManyElements);
   Poco::JSON::Parser parser;
   return parser.parse(text).extract<json_object::Ptr>();
 }
@@ -230,7 +224,7 @@
   return std::move(text).str();
 }
 
-order_answer ParseOrderAnswer(const control_answer& answer) {
+order_answer ParseOrderAnswer(const whole_answer& answer) {
   if (answer.status == kAcceptedStatus)
     return {order_verdict::accepted, {}, ""};
   if (answer.status == kNoMemoryStatus)
@@ -280,7 +274,8 @@
 result<cache_event_page, engine_error> engine_client::Events(
     int64_t after) const {
   const std::string path = "/engine/events?after=" + std::to_string(after);
-  auto answer = Exchange(ControlRequest(address_, "GET", path), timeout_);
+  auto answer = Exchange(ControlRequest(address_, "GET", path), timeout_,
+                         kMaxEventsBytes);
   if (!answer)
     return answer.error();
   if (answer.value().status != kOkStatus)
--- a/packages/endpoint/src/exchange.cc
+++ b/packages/endpoint/src/exchange.cc
@@ -19,6 +19,7 @@
 namespace jasminepath::endpoint {
 namespace {
 
+// Limit on the answer's head and on all informational heads before it.
 constexpr std::size_t kMaxHeadBytes = 64 * 1024;
 // Error bodies up to this size are searched for the field "run".
 constexpr std::size_t kMaxErrorBodyBytes = 16 * 1024;
@@ -196,6 +197,7 @@
 
   // Reads heads until one is not informational (1xx).
   result<void, exchange_failure> ReadFinalHead() {
+    std::size_t informational_bytes = 0;
     while (true) {
       const std::size_t end = buffer_.find(kHeadEnd);
       if (end != std::string::npos) {
@@ -207,6 +209,9 @@
         head_ = std::move(*head);
         if (head_.status >= kFirstFinalStatus)
           return success();
+        informational_bytes += size;
+        if (informational_bytes > kMaxHeadBytes)
+          return Malformed("the informational heads exceed 64 KiB");
         continue;
       }
       if (buffer_.size() > kMaxHeadBytes)
