Bound the answers of the store in the own interface

A store that sent bytes without end filled a node's memory: the client kept up to 256 MiB of an answer (a node has 260 MB), and only a pause of 3 s ended a call, so that an answer which kept arriving was read forever.

A truncated answer could pass as a whole one.

--- a/packages/endpoint/src/exchange.cc
+++ b/packages/endpoint/src/exchange.cc
@@ -60,7 +60,8 @@
   head.setHost(request.address.host, request.address.port);
   head.setContentLength64(static_cast<Poco::Int64>(request.body.size()));
   head.setKeepAlive(false);
-  head.set(kRequestIdHeader, request.request_id);
+  if (!request.request_id.empty())
+    head.set(kRequestIdHeader, request.request_id);
   std::ostringstream text;
   head.write(text);
   return std::move(text).str();
--- a/packages/platform/include/jasminepath/platform/platform_client.h
+++ b/packages/platform/include/jasminepath/platform/platform_client.h
@@ -17,6 +17,8 @@
   // Longest time without progress while the request is sent or the answer is
   // read.
   duration exchange = Seconds(3);
+  // Longest time of the whole call.
+  duration total = Seconds(30);
 
   friend bool operator==(const client_timeouts&,
                          const client_timeouts&) = default;
