Bound what the operator's tool keeps of a node's response

The tool buffered a node's response without a limit and gave up only after a pause, so that a faulty node could fill the memory of the operator's machine and hold the command. It uses the bounded exchange with 16 MiB and a minute for a call now.

--- a/packages/tool/include/jasminepath/tool/admin_client.h
+++ b/packages/tool/include/jasminepath/tool/admin_client.h
@@ -16,7 +16,8 @@
 class admin_client {
  public:
   // `operator_token` is sent in the Authorization header. `timeout` applies to
-  // the connect and to each read and write.
+  // the connect and to each pause without a byte; a call takes a minute at
+  // most.
   admin_client(std::string operator_token, duration timeout);
 
   // Sends POST /admin/facts.
--- a/packages/tool/src/admin_client.cc
+++ b/packages/tool/src/admin_client.cc
@@ -1,28 +1,22 @@
 #include "jasminepath/tool/admin_client.h"
 
 #include <Poco/Exception.h>
-#include <Poco/Net/HTTPClientSession.h>
-#include <Poco/Net/HTTPRequest.h>
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/SocketAddress.h>
-#include <Poco/StreamCopier.h>
 
-#include <chrono>
-#include <istream>
-#include <ostream>
 #include <utility>
 
+#include "jasminepath/endpoint/whole_answer.h"
+
 namespace jasminepath::tool {
 
 namespace {
 
 // Error messages quote at most this much of a node's response.
 constexpr std::size_t kMaxShownBodyBytes = 200;
-
-Poco::Timespan ToTimespan(duration value) {
-  return Poco::Timespan(
-      std::chrono::duration_cast<std::chrono::microseconds>(value).count());
-}
+constexpr duration kMaxCallTime = Seconds(60);
+// Limit on a node's response.
+constexpr std::size_t kMaxResponseBytes = std::size_t{16} << 20;
 
 config::json_value WriteFacts(const std::vector<pushed_fact>& facts) {
   config::json_value list{config::json_value::array()};
@@ -81,34 +75,36 @@
     const std::string& method,
     const std::string& path,
     const std::string& body) const {
+  endpoint::outbound_request request;
   try {
     const Poco::Net::SocketAddress target(address);
-    Poco::Net::HTTPClientSession session(target.host().toString(),
-                                         target.port());
-    session.setTimeout(ToTimespan(timeout_), ToTimespan(timeout_),
-                       ToTimespan(timeout_));
-    session.setKeepAlive(false);
-    Poco::Net::HTTPRequest request(method, path,
-                                   Poco::Net::HTTPMessage::HTTP_1_1);
-    request.set("Authorization", "Bearer " + operator_token_);
-    request.setContentType("application/json");
-    request.setContentLength(static_cast<std::streamsize>(body.size()));
-    session.sendRequest(request) << body << std::flush;
-    Poco::Net::HTTPResponse response;
-    std::string text;
-    Poco::StreamCopier::copyToString(session.receiveResponse(response), text);
-    if (response.getStatus() != Poco::Net::HTTPResponse::HTTP_OK) {
-      return failure(admin_error{"HTTP status " +
-                                 std::to_string(response.getStatus()) + ": " +
-                                 text.substr(0, kMaxShownBodyBytes)});
-    }
-    auto document = config::ParseJson(text);
-    if (!document)
-      return failure(admin_error{"the response is not JSON"});
-    return std::move(document).value();
+    request.address = {target.host().toString(), target.port()};
   } catch (const Poco::Exception& error) {
     return failure(admin_error{error.displayText()});
   }
+  request.method = method;
+  request.path = path;
+  request.headers = {{"Authorization", "Bearer " + operator_token_},
+                     {"Content-Type", "application/json"}};
+  request.body = body;
+  request.echo = endpoint::echo_rule::ignored;
+  const auto answer = endpoint::FetchWhole(
+      request, {boot_clock::now() + kMaxCallTime, timeout_, timeout_},
+      kMaxResponseBytes);
+  if (!answer) {
+    return failure(
+        admin_error{std::string(endpoint::ToString(answer.error().kind)) +
+                    ": " + answer.error().detail});
+  }
+  const auto& [status, text] = answer.value();
+  if (status != Poco::Net::HTTPResponse::HTTP_OK) {
+    return failure(admin_error{"HTTP status " + std::to_string(status) + ": " +
+                               text.substr(0, kMaxShownBodyBytes)});
+  }
+  auto document = config::ParseJson(text);
+  if (!document)
+    return failure(admin_error{"the response is not JSON"});
+  return std::move(document).value();
 }
 
 }  // namespace jasminepath::tool
