Refuse facts in a chunked body

The limit on pushed facts looked at Content-Length only; a chunked body was read to its end, however long. It needs the operator's token, so this is no way in for callers.

Test ChunkedFactsAreRefused (failed before).

--- a/packages/node/src/admin_api.cc
+++ b/packages/node/src/admin_api.cc
@@ -148,6 +148,9 @@
 
 void admin_api::ReceiveFacts(HTTPServerRequest& request,
                              HTTPServerResponse& response) {
+  if (!request.hasContentLength() || request.getChunkedTransferEncoding())
+    return SendError(response, HTTPResponse::HTTP_LENGTH_REQUIRED,
+                     "a chunked body is not accepted; send Content-Length");
   if (request.getContentLength64() > kMaxBodyBytes)
     return SendError(response, HTTPResponse::HTTP_REQUESTENTITYTOOLARGE,
                      "body: too large");
--- a/packages/node/tests/node_app_test.cc
+++ b/packages/node/tests/node_app_test.cc
@@ -6,6 +6,7 @@
 #include <thread>
 #include <vector>
 
+#include "raw_caller.h"
 #include "test_site.h"
 
 namespace jasminepath::node {
@@ -200,5 +201,19 @@
   BOOST_TEST(Contains(status.body, "\"vm\":\"node-0\""));
 }
 
+// Guards against a body without a length, whose size nothing limits.
+BOOST_AUTO_TEST_CASE(ChunkedFactsAreRefused) {
+  test_site site;
+  running_node node(site.Settings("node-0"));
+  raw_caller caller(node.admin_address());
+  caller.Send(std::string("POST /admin/facts HTTP/1.1\r\nHost: n\r\n"
+                          "Authorization: Bearer ") +
+              kOperatorToken +
+              "\r\nTransfer-Encoding: chunked\r\n\r\n"
+              "c\r\n{\"facts\":[]}\r\n0\r\n\r\n");
+  BOOST_TEST(
+      caller.ReadThrough("\r\n").starts_with("HTTP/1.1 411 Length Required"));
+}
+
 }  // namespace
 }  // namespace jasminepath::node
