Continue a stream only at the software version that began it

Endpoints of several software versions may serve one service side by side, and what two versions write does not fit together. Callers got streams with events of both: the field "version" of an endpoint's entry was not read, and "Resumes" was not known.

- Within an answer: the version of the endpoint whose event was passed on first is the only one whose endpoints the node asks to go on.
- Over a caller's tries: while a service has several versions, a node announces the version of each resumable stream to all nodes before it passes on the first event, so that it is known after the node was killed.
A stream that began before the second version appeared is taken up at the first one.
If nothing is known, the call is refused as not run; if the version has no endpoints left, the call is refused, or cut if its answer has begun.
- While a service has a single version nothing is sent or looked up but a version's name in the list.

An endpoint that comes back under its id with another version counts as another one.

Open: a node that has just started knows neither earlier announcements nor which version was the only one, so that after a restart of all nodes during a release streams of before are refused; placement does not look at versions.

--- a/packages/base/include/jasminepath/base/ids.h
+++ b/packages/base/include/jasminepath/base/ids.h
@@ -41,6 +41,8 @@
 using model_id = strong_id<struct model_tag>;
 // An adapter on top of a base model.
 using adapter_id = strong_id<struct adapter_tag>;
+// Version of an endpoint's software, not of the weights that it has loaded.
+using software_version = strong_id<struct software_version_tag>;
 // A machine of the platform, which runs either a node or an endpoint.
 using vm_id = strong_id<struct vm_tag>;
 // One run of a process on a VM. The id is never reused for another run.
--- a/packages/gateway/include/jasminepath/gateway/endpoint_entry.h
+++ b/packages/gateway/include/jasminepath/gateway/endpoint_entry.h
@@ -28,6 +28,9 @@
   // IP:PORT.
   std::string address;
   zone_id zone;
+  // Endpoints of one service with different versions cannot continue each
+  // other's streams.
+  software_version version;
   // Maximum number of requests that run at the endpoint at a time.
   int64_t slots = 1;
   // The endpoint accepts no new requests and finishes those in progress.
--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -208,8 +208,21 @@
   friend bool operator==(const crash_report&, const crash_report&) = default;
 };
 
-using peer_message =
-    std::variant<peer_digest, load_notice, table_changes, crash_report>;
+// Sent when the first event of a stream arrives whose service has several
+// software versions.
+struct stream_origin {
+  // The caller's request.
+  request_id attempt;
+  software_version version;
+
+  friend bool operator==(const stream_origin&, const stream_origin&) = default;
+};
+
+using peer_message = std::variant<peer_digest,
+                                  load_notice,
+                                  table_changes,
+                                  crash_report,
+                                  stream_origin>;
 
 // A message with its delivery information.
 struct peer_envelope {
--- a/packages/gateway/include/jasminepath/gateway/ports.h
+++ b/packages/gateway/include/jasminepath/gateway/ports.h
@@ -57,6 +57,8 @@
   std::vector<prompt_part> prompt;
   // Id of the last event that the caller has received, if it resumes a stream.
   std::optional<std::string> last_event_id;
+  // The caller's request that brought the first event of that stream.
+  std::optional<request_id> resumed_request;
   // Header fields that are forwarded unchanged.
   http::header_list forwarded;
   std::string body;
--- a/packages/gateway/src/call_context.h
+++ b/packages/gateway/src/call_context.h
@@ -15,6 +15,7 @@
 #include "jasminepath/report/event_log.h"
 #include "prompt_part_suspects.h"
 #include "stop_admission.h"
+#include "stream_origins.h"
 #include "wait_queue.h"
 
 namespace jasminepath::gateway {
@@ -47,6 +48,7 @@
   call_registry& calls;
   crash_suspects& suspects;
   prompt_part_suspects& part_suspects;
+  stream_origins& origins;
   gateway_metrics& metrics;
   // The active configuration; null until the first one has been read.
   site_pointer site;
--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -24,6 +24,8 @@
 // requests that must not run twice use new connections only.
 constexpr duration kMaxIdleForNonRepeatableStream = Milliseconds(1000);
 constexpr duration kMaxIdleForRepeatable = Seconds(4);
+// Time by which nodes may differ in when they learn of an endpoint.
+constexpr duration kMaxListDelay = Seconds(2);
 constexpr duration kConnectTimeout = Milliseconds(500);
 // Timeout without data after which a repeatable request is sent to another
 // endpoint: a multiple of the route's objective, within bounds.
@@ -129,6 +131,8 @@
     affinity_ = StableHash(affinity_key);
   }
   last_event_id_ = request_.last_event_id;
+  if (!FindStreamVersion())
+    return;
   reply_->OnClientDisconnect([this] { OnCallerDisconnect(); });
   StartDeadlineTimer();
   Dispatch();
@@ -185,6 +189,26 @@
   spec_ = site_->FindService(service_);
 }
 
+bool call_session::FindStreamVersion() {
+  if (!last_event_id_ || !route_->resumable)
+    return true;
+  if (request_.resumed_request)
+    stream_version_ = context_.origins.Find(*request_.resumed_request);
+  if (stream_version_)
+    return true;
+  const software_versions& versions = context_.endpoints.versions();
+  const duration age = route_->timeout + kMaxListDelay;
+  const time_point now = boot_clock::now();
+  if (!versions.HasSeveral(service_, age, now))
+    return true;
+  // Streams that began with several versions are recorded.
+  stream_version_ = versions.FormerOnlyVersion(service_, age, now);
+  if (stream_version_)
+    return true;
+  Refuse(503, "unknown_version", kDefaultRetryAfter);
+  return false;
+}
+
 model_id call_session::NeededModel() const {
   return spec_ != nullptr && spec_->engine ? request_.model : model_id();
 }
@@ -206,6 +230,7 @@
   query.service = service_;
   query.model = NeededModel();
   query.tie_break_seed = StableHash(request_.id.value());
+  query.version = stream_version_;
   if (spec_ != nullptr && spec_->engine) {
     query.adapter = request_.adapter;
     query.affinity = affinity_;
@@ -258,6 +283,10 @@
 }
 
 void call_session::WaitForEndpoint(pick_miss miss) {
+  if (miss == pick_miss::no_version) {
+    last_failure_ = "no_version";
+    return RefuseOrFail("no_version", kDefaultRetryAfter);
+  }
   const time_point now = boot_clock::now();
   const bool for_load = miss == pick_miss::not_loaded;
   const bool may_refuse = for_load && !answer_started_;
@@ -337,6 +366,7 @@
   context_.endpoints.Begin(*endpoint, NeededModel());
   attempt_ = attempt();
   attempt_->endpoint = std::move(endpoint);
+  attempt_->version = attempt_->endpoint->entry.version;
   last_endpoint_ = attempt_->endpoint->entry.id;
   attempt_->sent_at = boot_clock::now();
   relayed_events_.BeginAnswer();
@@ -478,8 +508,21 @@
       last_event_id_ = std::to_string(*event->index);
     events.append(event->raw);
   }
-  if (!events.empty())
-    Relay(events);
+  if (events.empty())
+    return;
+  RecordStreamVersion();
+  Relay(events);
+}
+
+void call_session::RecordStreamVersion() {
+  if (stream_version_)
+    return;
+  stream_version_ = attempt_->version;
+  const time_point now = boot_clock::now();
+  // A stream that was taken up is known under the caller's first request.
+  if (!request_.last_event_id &&
+      context_.endpoints.versions().HasSeveral(service_, duration::zero(), now))
+    context_.origins.Begin({request_.id, *stream_version_}, now);
 }
 
 void call_session::Relay(std::string_view piece) {
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -46,6 +46,8 @@
   // State of the attempt in progress.
   struct attempt {
     std::shared_ptr<pooled_endpoint> endpoint;
+    // As of the begin of the attempt.
+    software_version version;
     uint64_t connection = 0;
     answer_fields fields;
     http::response_head head;
@@ -61,6 +63,9 @@
 
   bool Authorize();
   bool CheckRateLimit();
+  // Finds out on which software version the stream began that the caller takes
+  // up. Refuses the call and returns false if that cannot be known.
+  bool FindStreamVersion();
   void ChooseService();
   endpoint_query MakeQuery() const;
   // The model that the endpoint must hold; empty for a service without models.
@@ -93,6 +98,8 @@
   void OnFailure(http::call_failure failure) override;
 
   void RelayEvents(std::string_view piece);
+  // Called before the first event of a stream is passed on.
+  void RecordStreamVersion();
   void Relay(std::string_view piece);
   void EndAttempt(decision::attempt_end end);
   void Avoid(const endpoint_id& endpoint);
@@ -157,6 +164,8 @@
   // Events of a resumable stream that were relayed.
   http::event_sequence relayed_events_;
   std::optional<std::string> last_event_id_;
+  // Version of the endpoints that can continue the stream, once it has begun.
+  std::optional<software_version> stream_version_;
   // Attempts that ran or may have run the request.
   int64_t runs_ = 0;
   // Requests that were sent to an endpoint, and attempts including those that
--- a/packages/gateway/src/endpoint_pool.cc
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -87,6 +87,7 @@
       missing_.try_emplace(id, now + grace);
   }
   DropMissing(now);
+  versions_.Settle(now);
 }
 
 void endpoint_pool::AddOrUpdate(const endpoint_entry& entry) {
@@ -95,6 +96,7 @@
   const bool restarted =
       known && (known->entry.started_at_ms != entry.started_at_ms ||
                 known->entry.address != entry.address ||
+                known->entry.version != entry.version ||
                 known->entry.service != entry.service);
   if (!address || restarted)
     Remove(entry.id);
@@ -105,6 +107,7 @@
     pooled = std::make_shared<pooled_endpoint>();
     pooled->client = std::make_unique<http::client>(loop_, address.value());
     by_service_[entry.service].insert(entry.id);
+    versions_.Add(entry.service, entry.version);
   }
   if (pooled->entry.models != entry.models) {
     std::erase_if(pooled->closing_notices, [&](const auto& item) {
@@ -129,6 +132,8 @@
     return;
   opened_by_removed_ += found->second->client->opened_connections();
   by_service_[found->second->entry.service].erase(id);
+  versions_.Remove(found->second->entry.service, found->second->entry.version,
+                   boot_clock::now());
   missing_.erase(id);
   // Later lookups erase the id from by_model_.
   endpoints_.erase(found);
@@ -272,6 +277,7 @@
     }
     ++id;
     if (endpoint->entry.service == query.service && !endpoint->entry.draining &&
+        (!query.version || endpoint->entry.version == *query.version) &&
         now >= endpoint->unreachable_until && IsReadyFor(*endpoint, query, now))
       ready.push_back(endpoint);
   }
@@ -283,9 +289,15 @@
   const std::vector<endpoint_pointer> ready = FindReady(query, now);
   if (ready.empty()) {
     const auto& ids = by_service_[query.service];
-    const bool has_available = std::any_of(
-        ids.begin(), ids.end(),
-        [this](const endpoint_id& id) { return !Find(id)->entry.draining; });
+    bool has_available = false;
+    bool has_version = !query.version;
+    for (const endpoint_id& id : ids) {
+      const endpoint_entry& entry = Find(id)->entry;
+      has_available = has_available || !entry.draining;
+      has_version = has_version || entry.version == *query.version;
+    }
+    if (has_available && !has_version)
+      return {nullptr, pick_miss::no_version};
     return {nullptr,
             has_available ? pick_miss::not_loaded : pick_miss::no_endpoint};
   }
--- a/packages/gateway/src/endpoint_pool.h
+++ b/packages/gateway/src/endpoint_pool.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -17,6 +18,7 @@
 #include "jasminepath/gateway/peer_digest.h"
 #include "jasminepath/gateway/site.h"
 #include "jasminepath/http/client.h"
+#include "software_versions.h"
 
 namespace jasminepath::gateway {
 
@@ -33,6 +35,8 @@
   // Hash that differs between requests, so that concurrent requests, and nodes
   // with the same load information, do not all choose the same endpoint.
   uint64_t tie_break_seed = 0;
+  // Set if only endpoints of this version can continue the stream.
+  std::optional<software_version> version;
   // Endpoints that recently failed this request.
   std::vector<endpoint_id> avoid;
 
@@ -74,6 +78,7 @@
   no_endpoint,  // The service has no usable endpoint.
   not_loaded,   // No usable endpoint has the model or adapter ready.
   full,         // All suitable endpoints are full.
+  no_version,   // No endpoint of the service has the version.
 };
 
 // The listed endpoints, with their connections, load and health. Picks an
@@ -111,6 +116,7 @@
                  time_point now);
 
   std::shared_ptr<pooled_endpoint> Find(const endpoint_id& id) const;
+  const software_versions& versions() const { return versions_; }
   // Entries of all endpoints that are currently listed.
   std::vector<endpoint_entry> Entries() const;
   // Running requests of this node by endpoint and model.
@@ -162,6 +168,7 @@
   // Running requests that each peer reported last.
   std::map<vm_id, std::vector<std::pair<endpoint_pointer, int64_t>>>
       usage_by_peer_;
+  software_versions versions_;
   std::size_t opened_by_removed_ = 0;
 };
 
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -88,9 +88,9 @@
       retries_(settings.bounds.retry_share, settings.bounds.retry_reserve),
       suspects_(settings.node),
       part_suspects_(settings.node),
-      context_{loop_,    codec_,  log_,   endpoints_, limiter_,
-               retries_, queue_,  calls_, suspects_,  part_suspects_,
-               metrics_, nullptr, {}},
+      context_{loop_,    codec_,   log_,    endpoints_, limiter_,
+               retries_, queue_,   calls_,  suspects_,  part_suspects_,
+               origins_, metrics_, nullptr, {}},
       store_(loop_, store, codec_, log_),
       site_rows_(loop_,
                  store_,
@@ -162,6 +162,10 @@
     });
   }
   peers_.OnGone([this](const vm_id& node) { OnPeerGone(node); });
+  origins_.OnBegun([this](const stream_origin& origin) {
+    peers_.BroadcastInZone(origin);
+    peers_.SendToOtherZones(origin, boot_clock::now());
+  });
   order_dispatcher_.OnNotice(
       [this](const load_notice& notice) { OnNotice(notice); });
   log_.Write(report::log_level::info, "started",
@@ -429,6 +433,8 @@
       part_suspects_.OnReport(*report, boot_clock::now());
     return;
   }
+  if (const auto* origin = std::get_if<stream_origin>(&message))
+    return origins_.Learn(*origin, boot_clock::now());
   ApplyNotice(std::get<load_notice>(message), boot_clock::now());
   queue_.WakeAll();
 }
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -92,6 +92,7 @@
   call_registry calls_;
   crash_suspects suspects_;
   prompt_part_suspects part_suspects_;
+  stream_origins origins_;
   call_context context_;
   store_client store_;
   table_follower site_rows_;
--- a/packages/gateway/src/peer_digest.cc
+++ b/packages/gateway/src/peer_digest.cc
@@ -85,6 +85,12 @@
   visit(m.node, m.zone, m.is_zone_report, m.parts);
 }
 
+template <typename Message, typename Visitor>
+requires std::is_same_v<std::remove_const_t<Message>, stream_origin>
+void ForEachField(Message& m, Visitor&& visit) {
+  visit(m.attempt, m.version);
+}
+
 using packer = msgpack::packer<msgpack::sbuffer>;
 
 template <typename T>
@@ -240,6 +246,9 @@
       case 3:
         return peer_envelope{UnpackMessage<crash_report>(content),
                              broadcast_origin};
+      case 4:
+        return peer_envelope{UnpackMessage<stream_origin>(content),
+                             broadcast_origin};
       default:
         return std::nullopt;
     }
--- a/packages/gateway/tests/peer_digest_test.cc
+++ b/packages/gateway/tests/peer_digest_test.cc
@@ -148,6 +148,9 @@
   report.parts = {{18446744073709551615ULL, 7, {1, 4294967295U}}, {3, 0, {}}};
   BOOST_TEST((DecodePeerMessage(EncodePeerMessage(report)) ==
               peer_envelope{report, {}}));
+  const stream_origin origin{request_id("9c41"), software_version("v2")};
+  BOOST_TEST((DecodePeerMessage(EncodePeerMessage(origin, vm_id("n"))) ==
+              peer_envelope{origin, vm_id("n")}));
   for (std::size_t length = 0; length < bytes.size(); ++length)
     BOOST_TEST(!DecodePeerMessage(bytes.substr(0, length)));
   BOOST_TEST(!DecodePeerMessage("nonsense"));
