Do not wait for a software version whose endpoints all leave

A stream that could only go on at endpoints that drain waited for one of them until its deadline, since draining endpoints counted as endpoints of the version. They take no requests any more, so the call is refused, or a begun answer cut, at once, and the caller can turn elsewhere. Test AVersionThatDrainsIsNotWaitedFor.

--- a/packages/gateway/src/endpoint_pool.cc
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -294,7 +294,8 @@
     for (const endpoint_id& id : ids) {
       const endpoint_entry& entry = Find(id)->entry;
       has_available = has_available || !entry.draining;
-      has_version = has_version || entry.version == *query.version;
+      has_version =
+          has_version || (!entry.draining && entry.version == *query.version);
     }
     if (has_available && !has_version)
       return {nullptr, pick_miss::no_version};
--- a/packages/gateway/src/endpoint_pool.h
+++ b/packages/gateway/src/endpoint_pool.h
@@ -78,7 +78,7 @@
   no_endpoint,  // The service has no usable endpoint.
   not_loaded,   // No usable endpoint has the model or adapter ready.
   full,         // All suitable endpoints are full.
-  no_version,   // No endpoint of the service has the version.
+  no_version,   // Only endpoints of other versions take requests.
 };
 
 // The listed endpoints, with their connections, load and health. Picks an
