Read of a whole table does not confirm peers' copies

A read in many pages from a slow store may take seconds, and its rows are as of its first page. Its difference was broadcast as current all the same, so that peers would have put off reading for themselves by that time. From reading the diff; only answers to polls confirm now.

--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -174,8 +174,8 @@
   bool is_snapshot = false;
   // The rows are too many or too large to broadcast and must be fetched.
   bool rows_omitted = false;
-  // The sender has just received them from the store, so that a copy which is
-  // complete as of `complete_to` is up to date.
+  // The store has just stated that nothing changed after `complete_to`, so that
+  // a copy which is complete as of then is up to date.
   bool is_current = false;
   // Ordered by version.
   std::vector<changed_row> rows;
--- a/packages/gateway/src/table_follower.cc
+++ b/packages/gateway/src/table_follower.cc
@@ -73,7 +73,8 @@
   RecordRead(started_at_);
   if (changes && (is_first_read || !changes->rows.empty()))
     on_change_();
-  // Peers need to know which rows the read lacked.
+  // Peers need to know which rows the read lacked. The read may have taken
+  // long, so it does not show that their copies are up to date.
   if (changes && !is_first_read)
     Publish(*changes);
   incoming_.clear();
@@ -125,8 +126,9 @@
   failures_ = 0;
   reading_ = false;
   RecordRead(boot_clock::now());
-  const table_changes changes =
+  table_changes changes =
       copy_.ApplyPolled(answer.page.rows, answer.page.version);
+  changes.is_current = true;
   // A node that does not poll has read because the zone lacks a confirmation.
   if (!changes.rows.empty() || !should_poll_)
     Publish(changes);
@@ -137,8 +139,7 @@
   timer_.Start(timing_.spacing, [this] { Poll(); });
 }
 
-void table_follower::Publish(table_changes changes) {
-  changes.is_current = true;
+void table_follower::Publish(const table_changes& changes) {
   if (on_changes_)
     on_changes_(changes);
 }
--- a/packages/gateway/src/table_follower.h
+++ b/packages/gateway/src/table_follower.h
@@ -81,7 +81,7 @@
   void Poll();
   void OnRead(const store_answer& answer);
   void OnPolled(const store_answer& answer);
-  void Publish(table_changes changes);
+  void Publish(const table_changes& changes);
   void RecordRead(time_point at);
   void Retry();
   bool IsUnconfirmed(time_point now) const {
