Answer a request that was read when its idle connection is closed

Cause: the first read of a new connection, and the first one after an answer, mostly finds the request at once. Its bytes have then left the kernel, and the handler that parses them waits in the event loop. Closing idle connections, at a planned stop or at the idle limit, looked at the kernel's unread input only, found none, and closed the connection; the handler then saw a closed connection and dropped the input.

The pending read is cancelled instead. One that had completed is not cancelled any more, so its handler gets the input and the request is answered; one that is cancelled closes the connection. A request that arrives after that is reset unread, as before.

--- a/packages/http/src/server_connection.cc
+++ b/packages/http/src/server_connection.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/verb.hpp>
+#include <utility>
 
 #include "server_exchange.h"
 
@@ -87,7 +88,17 @@
     return StartIdleTimer(left);
   if (HasUnreadInput())
     return StartIdleTimer(kUnreadInputDelay);
-  Close();
+  CloseUnlessInputWasRead();
+}
+
+// A read that has completed is not cancelled any more: its handler gets the
+// input.
+void server_connection::CloseUnlessInputWasRead() {
+  if (!reading_ || unsent_bytes() > 0)
+    return Close();
+  close_if_cancelled_ = true;
+  error_code ignored;
+  socket_.cancel(ignored);
 }
 
 bool server_connection::HasUnreadInput() const {
@@ -105,6 +116,10 @@
         self->reading_ = false;
         if (self->closed_)
           return;
+        const bool should_close =
+            std::exchange(self->close_if_cancelled_, false);
+        if (should_close && error == asio::error::operation_aborted)
+          return self->Close();
         if (error)
           return self->OnClosedByClient();
         self->OnRead(length);
@@ -321,7 +336,7 @@
   if (busy_ || closing_ || !input_.empty() || request_began_ != time_point{} ||
       close_when_sent_ || HasUnreadInput())
     return;
-  Close();
+  CloseUnlessInputWasRead();
 }
 
 void server_connection::OnSent(std::function<void()> callback) {
--- a/packages/http/src/server_connection.h
+++ b/packages/http/src/server_connection.h
@@ -63,6 +63,9 @@
   void OnIdleTimeout();
   // Whether the kernel holds input that has not been read.
   bool HasUnreadInput() const;
+  // Closes the idle connection unless input has been read whose handler has not
+  // run yet.
+  void CloseUnlessInputWasRead();
   bool HandleHead();
   void HandleRequest();
   void Reject(int status);
@@ -78,6 +81,8 @@
   // Bytes that have been read but not parsed.
   std::string input_;
   bool reading_ = false;
+  // Close the connection if the pending read has been cancelled.
+  bool close_if_cancelled_ = false;
   bool head_seen_ = false;
   time_point request_began_{};
   // Number of complete requests received.
--- a/packages/http/tests/server_test.cc
+++ b/packages/http/tests/server_test.cc
@@ -176,6 +176,24 @@
   BOOST_TEST(requests.size() == 2);
 }
 
+// Guards against requests that are dropped because they were read in the same
+// turn of the event loop in which the server stops.
+BOOST_FIXTURE_TEST_CASE(AnswersARequestThatWasReadWhenTheServerStopped,
+                        server_fixture) {
+  raw_client client(*this, subject.port());
+  client.Send(kGet);
+  while (subject.connection_count() == 0) {
+    loop.restart();
+    loop.poll_one();
+  }
+  // The first read of a connection has found the request. Its handler runs
+  // next.
+  BOOST_TEST(requests.empty());
+  subject.StopAccepting();
+  BOOST_TEST(client.ReadToEnd().find("body of") != std::string::npos);
+  BOOST_TEST(requests.size() == 1);
+}
+
 // A reset tells the client that the request was not read.
 BOOST_FIXTURE_TEST_CASE(DoesNotReadARequestThatItWillNotAnswer,
                         server_fixture) {
