--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -163,8 +163,8 @@
   std::string table_server_address;
   // A copy that is complete as of a version from `valid_from` to `valid_to` is
   // complete as of `complete_to` once it has applied the rows. If `valid_to` is
-  // less than `complete_to`, the rows are a net difference, in which rows that
-  // came and went are missing.
+  // less than `complete_to`, the rows are a net difference, which omits rows
+  // that were both added and removed in between.
   int64_t valid_from = 0;
   int64_t valid_to = 0;
   int64_t complete_to = 0;
--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -519,7 +519,7 @@
     return;
   stream_version_ = attempt_->version;
   const time_point now = boot_clock::now();
-  // A stream that was taken up is known under the caller's first request.
+  // A resumed stream is known under the caller's first request.
   if (!request_.last_event_id &&
       context_.endpoints.versions().HasSeveral(service_, duration::zero(), now))
     context_.origins.Begin({request_.id, *stream_version_}, now);
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -63,8 +63,8 @@
 
   bool Authorize();
   bool CheckRateLimit();
-  // Finds out on which software version the stream began that the caller takes
-  // up. Refuses the call and returns false if that cannot be known.
+  // Finds out on which software version the stream began that the caller
+  // resumes. Refuses the call and returns false if that cannot be known.
   bool FindStreamVersion();
   void ChooseService();
   endpoint_query MakeQuery() const;
--- a/packages/gateway/src/software_versions.cc
+++ b/packages/gateway/src/software_versions.cc
@@ -34,7 +34,7 @@
         state.versions.begin(), state.versions.end(),
         [](const auto& item) { return item.second.endpoints > 0; });
     if (listed == 1) {
-      // Kept while the last streams of the other versions may be taken up.
+      // Kept when other versions appear, since earlier streams began on it.
       state.only_version =
           std::find_if(
               state.versions.begin(), state.versions.end(),
--- a/packages/gateway/src/stream_origins.h
+++ b/packages/gateway/src/stream_origins.h
@@ -15,7 +15,7 @@
 namespace jasminepath::gateway {
 
 // The software version on which each stream began, for streams that callers may
-// take up again at any node. Only streams of services with several versions are
+// resume at any node. Only streams of services with several versions are
 // recorded. Does no I/O.
 class stream_origins {
  public:
--- a/packages/gateway/tests/endpoint_version_test.cc
+++ b/packages/gateway/tests/endpoint_version_test.cc
@@ -49,8 +49,8 @@
   BOOST_TEST((PickVersion("v1").miss == pick_miss::no_version));
 }
 
-// An endpoint may come back under its id with another version.
-BOOST_FIXTURE_TEST_CASE(AnEndpointThatComesBackHasItsNewVersion, pool_fixture) {
+// An endpoint may restart under its id with another version.
+BOOST_FIXTURE_TEST_CASE(ARestartedEndpointHasItsNewVersion, pool_fixture) {
   List(Entry("e1", "v1"));
   List(Entry("e1", "v2"));
   BOOST_TEST((PickVersion("v1").miss == pick_miss::no_version));
--- a/packages/gateway/tests/software_versions_test.cc
+++ b/packages/gateway/tests/software_versions_test.cc
@@ -48,7 +48,7 @@
   BOOST_TEST(!versions.FormerOnlyVersion(service, kAge, now).has_value());
 }
 
-// Streams of a version whose endpoints have all left may still be taken up.
+// Streams of a version whose endpoints have all left may still be resumed.
 BOOST_FIXTURE_TEST_CASE(AVersionCountsForATimeAfterItsLastEndpoint,
                         versions_fixture) {
   versions.Add(service, v1);
--- a/packages/gateway/tests/table_copy_test.cc
+++ b/packages/gateway/tests/table_copy_test.cc
@@ -119,7 +119,7 @@
   BOOST_TEST((peer.rows() == reader.rows()));
 }
 
-// A row that came and went between the two reads is in neither of them, so that
+// A row that was added and removed between the two reads is in neither, so that
 // a peer that has it needs all rows.
 BOOST_FIXTURE_TEST_CASE(DifferencesApplyToTheSameRowsOnly, copies_fixture) {
   peer.ApplyPolled({Row("c", "1", 15)}, revision(16));
