Share the endless answers of the tests

The tests of the endpoint package and of the store client declared the same struct for an answer without end; it stands beside the server that sends it now.

--- a/packages/endpoint/tests/endless_answer_test.cc
+++ b/packages/endpoint/tests/endless_answer_test.cc
@@ -1,6 +1,5 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
-#include <ostream>
 #include <string>
 
 #include "collected_answer.h"
@@ -15,19 +14,7 @@
 const std::string kChunkedHead = kHead + "Transfer-Encoding: chunked\r\n\r\n";
 const std::string kHugeHead = kHead + "Content-Length: 99999999999\r\n\r\n";
 
-// An answer that begins with `beginning` and goes on with `piece` forever.
-struct endless_answer {
-  const char* name;
-  std::string beginning;
-  std::string piece;
-
-  friend std::ostream& operator<<(std::ostream& out,
-                                  const endless_answer& answer) {
-    return out << answer.name;
-  }
-};
-
-const endless_answer kEndlessAnswers[] = {
+const standin::endless_answer kEndlessAnswers[] = {
     {"garbage", "", "garbage"},
     {"status_line", "HTTP/1.1 200 ", "O"},
     {"blank_lines", "", "\r\n"},
--- a/packages/platform/tests/endless_answer_test.cc
+++ b/packages/platform/tests/endless_answer_test.cc
@@ -1,6 +1,5 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
-#include <ostream>
 #include <string>
 
 #include "http_exchange.h"
@@ -12,19 +11,7 @@
 constexpr char kChunkedHead[] =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-// An answer that begins with `beginning` and goes on with `piece` forever.
-struct endless_answer {
-  const char* name;
-  std::string beginning;
-  std::string piece;
-
-  friend std::ostream& operator<<(std::ostream& out,
-                                  const endless_answer& answer) {
-    return out << answer.name;
-  }
-};
-
-const endless_answer kEndlessAnswers[] = {
+const standin::endless_answer kEndlessAnswers[] = {
     {"garbage", "", "garbage"},
     {"spaces", "", " "},
     {"fields", "HTTP/1.1 200 OK\r\n", "X: y\r\n"},
--- a/packages/standin/include/jasminepath/standin/endless_server.h
+++ b/packages/standin/include/jasminepath/standin/endless_server.h
@@ -5,11 +5,25 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <ostream>
 #include <string>
 #include <thread>
 
 namespace jasminepath::standin {
 
+// An answer that begins with `beginning` and goes on with `piece` forever. The
+// name is for the test's report.
+struct endless_answer {
+  const char* name;
+  std::string beginning;
+  std::string piece;
+
+  friend std::ostream& operator<<(std::ostream& out,
+                                  const endless_answer& answer) {
+    return out << answer.name;
+  }
+};
+
 // A faulty server. Accepts one connection and answers the request with the
 // beginning and then with the piece, again and again, until the client closes
 // the connection or kMaxSentBytes have been sent.
