--- a/review/stage-2/stage.cc
+++ b/review/stage-2/stage.cc
@@ -16,6 +16,8 @@
 #include <fstream>
 #include <iostream>
 
+#include "jasminepath/config/json_value.h"
+
 extern char** environ;
 
 namespace jasminepath::review {
@@ -24,11 +26,12 @@
 constexpr char kNodeProgram[] = "target/bin/jasminepathd";
 constexpr char kKey[] = "i9n73hh2b9wu3fexd9dn";
 constexpr duration kCheckIn = Milliseconds(1200);
+// All servers have all models on their disks.
+constexpr duration kDiskLoad = Milliseconds(440);
 constexpr duration kProbeInterval = Seconds(1);
 constexpr int kMissesToLeave = 2;
 
-// The route is pattern-access of the small site; the service has one model,
-// which every server holds.
+// The route is pattern-access of the small site.
 constexpr char kSite[] = R"({"version":5,
  "routes":[{"name":"access","host":"ficu95.example","pathPrefix":"/lohu930/",
   "kind":"streaming","timeoutMs":13000,"targetLatencyMs":2000,"service":"loom",
@@ -36,6 +39,8 @@
  "services":[{"name":"loom","healthPath":"/healthz","engine":{"slots":64,
   "weightsMb":230000,"adapterSlots":8,"loadsPerS":1.6,"models":[
   {"name":"m1","weightsMb":72700,"loadS":6,"diskS":0.44,"warmS":0.32,
+   "adapters":0,"adapterMb":66},
+  {"name":"m2","weightsMb":72700,"loadS":6,"diskS":0.44,"warmS":0.32,
    "adapters":0,"adapterMb":66}]}}],
  "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
   "headerTimeoutMs":3000,"idleTimeoutMs":15000},
@@ -153,6 +158,8 @@
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     ::dup2(log, STDOUT_FILENO);
     ::dup2(log, STDERR_FILENO);
+    // The sockets of the stand-ins are not the node's.
+    ::close_range(STDERR_FILENO + 1, ~0U, 0);
     ::execle(kNodeProgram, kNodeProgram, "--platform",
              static_cast<char*>(nullptr), variables.data());
     ::_exit(127);
@@ -190,35 +197,71 @@
       version_(std::move(version)),
       events_(events),
       interval_(interval),
-      server_(loop,
-              [this](const http::request& message,
-                     const std::shared_ptr<http::exchange>& reply) {
-                Handle(message, reply);
-              }),
-      check_in_(loop) {
-  if (!server_.Listen("127.0.0.1:0"))
+      check_in_(loop),
+      load_end_(loop) {
+  // Not the address from which connections go out, so that nothing else takes
+  // the port while the server is down.
+  const std::string ip = LoopbackPrefix() + "200";
+  Listen(ip + ":0");
+  address_ = ip + ":" + std::to_string(server_->port());
+}
+
+void stream_server::Listen(const std::string& address) {
+  server_ = std::make_unique<http::server>(
+      loop_, [this](const http::request& message,
+                    const std::shared_ptr<http::exchange>& reply) {
+        Handle(message, reply);
+      });
+  if (!server_->Listen(address)) {
+    std::cerr << "a server cannot listen\n";
     std::exit(kCouldNotRun);
+  }
   http::server_limits limits;
   limits.idle_timeout = Seconds(60);
-  server_.SetLimits(limits);
+  server_->SetLimits(limits);
+}
+
+std::string stream_server::ModelsJson() const {
+  std::string list;
+  for (const std::string& model : models_)
+    list += std::string(list.empty() ? "" : ",") + R"({"name":")" + model +
+            R"(","version":1,"adapters":[]})";
+  return R"("stage":"colocated","models":[)" + list +
+         R"(],"atHand":{"inMemory":[],"onDisk":["m1","m2"]},"born":)" +
+         std::to_string(born_ms_);
 }
 
 void stream_server::Register() {
   if (!is_registered_)
     record_.Line("entry of " + id_ + " with version " + version_);
   is_registered_ = true;
-  store_.Put(
-      "servers", id_,
-      R"({"service":"loom","address":"127.0.0.1:)" +
-          std::to_string(server_.port()) + R"(","zone":")" + zone_ +
-          R"(","version":")" + version_ +
-          R"(","slots":64,"state":"ready","coldRemainingMs":0,"born":1790000000000,"seq":)" +
-          std::to_string(++seq_) + R"(,"stage":"colocated","models":[{"name":")" +
-          kModel +
-          R"(","version":1,"adapters":[]}],"atHand":{"inMemory":["m1"],"onDisk":["m1"]}})");
+  store_.Put("servers", id_,
+             R"({"service":"loom","address":")" + address_ + R"(","zone":")" +
+                 zone_ + R"(","version":")" + version_ +
+                 R"(","slots":64,"state":"ready","coldRemainingMs":0,"seq":)" +
+                 std::to_string(++seq_) + "," + ModelsJson() + "}");
   check_in_.Start(kCheckIn, [this] { Register(); });
 }
 
+void stream_server::Crash() {
+  record_.Line(id_ + " crashes");
+  check_in_.Cancel();
+  load_end_.Cancel();
+  is_registered_ = false;
+  runs_.clear();
+  server_.reset();
+  models_.clear();
+  orders_ = fence_ = seq_ = 0;
+  is_busy_ = false;
+}
+
+void stream_server::Restart() {
+  record_.Line(id_ + " starts again");
+  born_ms_ += 1000;
+  Listen(address_);
+  Register();
+}
+
 void stream_server::Unregister() {
   check_in_.Cancel();
   is_registered_ = false;
@@ -234,15 +277,23 @@
   if (message.target == "/healthz")
     return reply->Respond({200, {{"Instance-Id", id_}}}, "");
   if (message.target == "/report")
-    return reply->Respond(
-        {200, {{"Content-Type", "application/json"}}},
-        R"({"stage":"colocated","models":[{"name":"m1","version":1,"adapters":[]}],"busy":false,"seq":0,"queued":0,"active":)" +
-            std::to_string(runs_.size()) +
-            R"(,"kvUsed":0,"kvTotal":263704,"handles":0,"born":1790000000000,"atHand":{"inMemory":["m1"],"onDisk":["m1"]}})");
-  // It holds the only model that there is.
-  if (message.target == "/order") {
-    record_.Line("order at " + id_ + ": " + message.body);
-    return reply->Respond({200, {}}, "");
+    return reply->Respond({200, {{"Content-Type", "application/json"}}},
+                          "{" + ModelsJson() + R"(,"busy":)" +
+                              (is_busy_ ? "true" : "false") + R"(,"seq":)" +
+                              std::to_string(orders_) +
+                              R"(,"queued":0,"active":)" +
+                              std::to_string(runs_.size()) +
+                              R"(,"kvUsed":0,"kvTotal":263704,"handles":0})");
+  if (message.target == "/order")
+    return HandleOrder(message, reply);
+  if (!models_.contains(Header(message, "Model"))) {
+    record_.Line("run " + Header(message, "Attempt-Id") + " at " + id_ +
+                 " refused: model not loaded");
+    return reply->Respond({421,
+                           {{"Instance-Id", id_},
+                            {"Not-Run", "1"},
+                            {"Attempt-Id", Header(message, "Attempt-Id")}}},
+                          "");
   }
   const uint64_t key = ++last_run_;
   run& begun = runs_[key];
@@ -266,6 +317,41 @@
   begun.timer->Start(Milliseconds(50), [this, key] { SendEvent(key); });
 }
 
+void stream_server::HandleOrder(const http::request& message,
+                                const std::shared_ptr<http::exchange>& reply) {
+  const auto parsed = config::ParseJson(message.body);
+  if (!parsed)
+    return reply->Respond({400, {}}, "");
+  const config::json_value& order = parsed.value();
+  const std::string model = order.StringOr("model", "");
+  const bool is_load = order.StringOr("operation", "") == "model_load";
+  const int64_t fence = order.IntegerOr("fenceToken", -1);
+  int status = 202;
+  if (fence < fence_)
+    status = 412;
+  else if (is_busy_ || order.IntegerOr("expectedRev", orders_) != orders_)
+    status = 409;
+  else if (models_.contains(model) == is_load)
+    status = 200;
+  record_.Line("order at " + id_ + " (version " + version_ +
+               "): " + message.body + " -> " + std::to_string(status));
+  fence_ = std::max(fence_, fence);
+  reply->Respond({status, {}}, "");
+  if (status != 202)
+    return;
+  ++orders_;
+  is_busy_ = true;
+  load_end_.Start(kDiskLoad, [this, model, is_load] {
+    is_busy_ = false;
+    if (is_load)
+      models_.insert(model);
+    else
+      models_.erase(model);
+    record_.Line(id_ + (is_load ? " has loaded " : " has unloaded ") + model);
+    Register();
+  });
+}
+
 void stream_server::SendEvent(uint64_t key) {
   run& current = runs_[key];
   if (current.next > events_) {
@@ -279,11 +365,16 @@
   current.timer->Start(interval_, [this, key] { SendEvent(key); });
 }
 
-stream_client::stream_client(stage& owner, int number, int64_t events)
+stream_client::stream_client(stage& owner,
+                             int number,
+                             int64_t events,
+                             std::string model)
     : stage_(owner),
       number_(number),
       events_(events),
-      timer_(std::make_unique<http::timer>(owner.loop)) {}
+      model_(std::move(model)),
+      timer_(std::make_unique<http::timer>(owner.loop)),
+      gap_timer_(std::make_unique<http::timer>(owner.loop)) {}
 
 stream_client::~stream_client() = default;
 
@@ -311,7 +402,7 @@
   message.headers = {
       {"Host", "ficu95.example"},
       {"Attempt-Id", attempt_id_},
-      {"Model", kModel},
+      {"Model", model_},
       {"Token-Count", "60,20"},
       {"Prompt-Prefix", "5c1e07a2:40," + std::to_string(number_) + ":20"},
       {"Deadline-Ms", std::to_string(ToMilliseconds(left))},
@@ -339,6 +430,17 @@
   options.head_timeout = left;
   options.max_idle_time = duration::zero();
   call_ = client_->Send(http::Serialize(message), false, options, *this);
+  WatchGap();
+}
+
+void stream_client::WatchGap() {
+  gap_timer_->Start(stage::kLongestGap, [this] {
+    call_.reset();
+    stage_.out.Line("client " + std::to_string(number_) + " abandons " +
+                    attempt_id_ + " after a gap of " +
+                    std::to_string(ToMilliseconds(stage::kLongestGap)) + " ms");
+    RetryAfter(Milliseconds(20));
+  });
 }
 
 bool stream_client::OnHead(const http::response_head& head) {
@@ -358,6 +460,7 @@
   if (status_ != 200 || !splitter_.Append(piece))
     return;
   while (const auto event = splitter_.Next()) {
+    WatchGap();
     const int64_t index = event->index.value_or(-1);
     is_out_of_order_ = is_out_of_order_ || index != last_event_ + 1;
     if (has_resumed_ && !has_gone_on_) {
@@ -398,12 +501,14 @@
 }
 
 void stream_client::RetryAfter(duration delay) {
+  gap_timer_->Cancel();
   if (attempts_ > stage::kRetries)
     return End(false);
   timer_->Start(delay, [this] { Attempt(); });
 }
 
 void stream_client::End(bool is_complete) {
+  gap_timer_->Cancel();
   is_done_ = true;
   is_complete_ = is_complete;
   stage_.out.Line("client " + std::to_string(number_) +
@@ -469,17 +574,19 @@
 stream_server& stage::AddServer(const std::string& zone,
                                 const std::string& version,
                                 int64_t events,
-                                duration interval) {
+                                duration interval,
+                                const std::string& id) {
+  const std::string made = "i-" + version + "-" + std::to_string(servers.size());
   servers.push_back(std::make_unique<stream_server>(
-      out, loop, store, "i-" + version + "-" + std::to_string(servers.size()),
-      zone, version, events, interval));
+      out, loop, store, id.empty() ? made : id, zone, version, events,
+      interval));
   servers.back()->Register();
   return *servers.back();
 }
 
-stream_client& stage::AddClient(int64_t events) {
+stream_client& stage::AddClient(int64_t events, const std::string& model) {
   clients.push_back(std::make_unique<stream_client>(
-      *this, static_cast<int>(clients.size()), events));
+      *this, static_cast<int>(clients.size()), events, model));
   clients.back()->Start();
   return *clients.back();
 }
--- a/review/stage-2/stage.h
+++ b/review/stage-2/stage.h
@@ -29,7 +29,9 @@
 inline constexpr int kCouldNotRun = 2;
 
 inline constexpr char kService[] = "loom";
+// The models of the service. All servers hold the first one.
 inline constexpr char kModel[] = "m1";
+inline constexpr char kRareModel[] = "m2";
 
 // Writes what was sent, answered and run, with the time in ms.
 class record {
@@ -85,8 +87,9 @@
   pid_t pid_ = 0;
 };
 
-// A model server with one software version, which streams events and honours
-// Expect-Instance and Last-Event-Id. It drops a run whose channel closes.
+// A model server with one software version, which streams events, takes orders
+// and honours Expect-Instance and Last-Event-Id. It drops a run whose channel
+// closes.
 class stream_server {
  public:
   stream_server(record& out,
@@ -102,6 +105,12 @@
   void Register();
   // Its entry is removed; it goes on serving.
   void Unregister();
+  // Holds one more model from the start.
+  void AddModel(const std::string& model) { models_.insert(model); }
+  // Ends without a word: its channels break, and its entry stays.
+  void Crash();
+  // Starts again after a crash, with nothing loaded.
+  void Restart();
 
   const std::string& version() const { return version_; }
   // The ids of the requests that it has begun to run.
@@ -115,8 +124,13 @@
     std::unique_ptr<http::timer> timer;
   };
 
+  void Listen(const std::string& address);
   void Handle(const http::request& message,
               const std::shared_ptr<http::exchange>& reply);
+  void HandleOrder(const http::request& message,
+                   const std::shared_ptr<http::exchange>& reply);
+  // What its entry and its reports say of the models that it holds.
+  std::string ModelsJson() const;
   void SendEvent(uint64_t key);
 
   record& record_;
@@ -127,9 +141,17 @@
   std::string version_;
   int64_t events_;
   duration interval_;
-  http::server server_;
+  std::unique_ptr<http::server> server_;
+  std::string address_;
   http::timer check_in_;
+  http::timer load_end_;
+  std::set<std::string> models_{kModel};
+  int64_t born_ms_ = 1'790'000'000'000;
   int64_t seq_ = 0;
+  // Orders accepted since the start, and whether one is being carried out.
+  int64_t orders_ = 0;
+  int64_t fence_ = 0;
+  bool is_busy_ = false;
   bool is_registered_ = false;
   uint64_t last_run_ = 0;
   std::vector<std::string> begun_;
@@ -142,7 +164,7 @@
 // stream up again on a new channel, at another node, a few times.
 class stream_client : private http::response_sink {
  public:
-  stream_client(stage& owner, int number, int64_t events);
+  stream_client(stage& owner, int number, int64_t events, std::string model);
   ~stream_client() override;
 
   void Start();
@@ -171,6 +193,8 @@
  private:
   void Attempt();
   void RetryAfter(duration delay);
+  // Abandons the attempt after a gap that is too long.
+  void WatchGap();
   void End(bool is_complete);
   bool OnHead(const http::response_head& head) override;
   void OnBody(std::string_view piece) override;
@@ -180,9 +204,11 @@
   stage& stage_;
   int number_;
   int64_t events_;
+  std::string model_;
   std::unique_ptr<http::client> client_;
   std::unique_ptr<http::call> call_;
   std::unique_ptr<http::timer> timer_;
+  std::unique_ptr<http::timer> gap_timer_;
   http::event_stream_splitter splitter_;
   time_point began_at_{};
   const node_process* first_node_ = nullptr;
@@ -210,6 +236,9 @@
   static constexpr int64_t kTimeBudgetMs = 13'000;
   // Attempts of a client beyond the first one.
   static constexpr int kRetries = 3;
+  // The longest of two seconds, four times the objective and eight times the
+  // pause that the route allows.
+  static constexpr duration kLongestGap = Seconds(8);
 
   stage();
   ~stage();
@@ -221,11 +250,13 @@
   // Runs until the condition holds; returns false after `limit`.
   bool RunUntil(const std::function<bool()>& condition, duration limit);
 
+  // A name that is empty is made from the version.
   stream_server& AddServer(const std::string& zone,
                            const std::string& version,
                            int64_t events,
-                           duration interval);
-  stream_client& AddClient(int64_t events);
+                           duration interval,
+                           const std::string& id = "");
+  stream_client& AddClient(int64_t events, const std::string& model = kModel);
 
   // The node that the balancer chooses for a client's attempt.
   node_process* Choose(int client, int attempt, const node_process* except);
