--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -51,8 +51,9 @@
     victim.Start();
   all.RunUntil(
       [&all] {
-        return std::all_of(all.clients.begin(), all.clients.end(),
-                           [](const auto& client) { return client->is_done(); });
+        return std::all_of(
+            all.clients.begin(), all.clients.end(),
+            [](const auto& client) { return client->is_done(); });
       },
       Seconds(20));
   int begun = 0, taken_up = 0, gone_on = 0, complete = 0, mixed = 0;
