--- a/review/stage-2/stage.cc
+++ b/review/stage-2/stage.cc
@@ -150,8 +150,8 @@
     variables.push_back(*each);
   variables.push_back(const_cast<char*>(variable.c_str()));
   variables.push_back(nullptr);
-  const int log =
-      ::open(log_file_.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  const int log = ::open(log_file_.c_str(),
+                         O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
   pid_ = ::fork();
   if (pid_ == 0) {
     // The node ends with the case.
@@ -277,13 +277,12 @@
   if (message.target == "/healthz")
     return reply->Respond({200, {{"Instance-Id", id_}}}, "");
   if (message.target == "/report")
-    return reply->Respond({200, {{"Content-Type", "application/json"}}},
-                          "{" + ModelsJson() + R"(,"busy":)" +
-                              (is_busy_ ? "true" : "false") + R"(,"seq":)" +
-                              std::to_string(orders_) +
-                              R"(,"queued":0,"active":)" +
-                              std::to_string(runs_.size()) +
-                              R"(,"kvUsed":0,"kvTotal":263704,"handles":0})");
+    return reply->Respond(
+        {200, {{"Content-Type", "application/json"}}},
+        "{" + ModelsJson() + R"(,"busy":)" + (is_busy_ ? "true" : "false") +
+            R"(,"seq":)" + std::to_string(orders_) +
+            R"(,"queued":0,"active":)" + std::to_string(runs_.size()) +
+            R"(,"kvUsed":0,"kvTotal":263704,"handles":0})");
   if (message.target == "/order")
     return HandleOrder(message, reply);
   if (!models_.contains(Header(message, "Model"))) {
@@ -392,8 +391,7 @@
   if (first_node_ == nullptr)
     first_node_ = node_;
   ++attempts_;
-  attempt_id_ =
-      "c" + std::to_string(number_) + "a" + std::to_string(attempts_);
+  attempt_id_ = "c" + std::to_string(number_) + "a" + std::to_string(attempts_);
   if (first_attempt_.empty())
     first_attempt_ = attempt_id_;
   http::request message;
@@ -511,9 +509,10 @@
   gap_timer_->Cancel();
   is_done_ = true;
   is_complete_ = is_complete;
-  stage_.out.Line("client " + std::to_string(number_) +
-                  (is_complete ? " complete" : " gave up after event " +
-                                                   std::to_string(last_event_)));
+  stage_.out.Line(
+      "client " + std::to_string(number_) +
+      (is_complete ? " complete"
+                   : " gave up after event " + std::to_string(last_event_)));
 }
 
 stage::stage() : store(loop), probe_timer_(loop) {
@@ -576,10 +575,11 @@
                                 int64_t events,
                                 duration interval,
                                 const std::string& id) {
-  const std::string made = "i-" + version + "-" + std::to_string(servers.size());
-  servers.push_back(std::make_unique<stream_server>(
-      out, loop, store, id.empty() ? made : id, zone, version, events,
-      interval));
+  const std::string made =
+      "i-" + version + "-" + std::to_string(servers.size());
+  servers.push_back(
+      std::make_unique<stream_server>(out, loop, store, id.empty() ? made : id,
+                                      zone, version, events, interval));
   servers.back()->Register();
   return *servers.back();
 }
