--- a/review/stage-2/stage.cc
+++ b/review/stage-2/stage.cc
@@ -181,6 +181,21 @@
   pid_ = 0;
 }
 
+void node_process::Terminate() {
+  if (pid_ <= 0)
+    return;
+  ::kill(pid_, SIGTERM);
+  record_.Line("SIGTERM to " + name_);
+}
+
+bool node_process::HasEnded() {
+  if (pid_ > 0 && ::waitpid(pid_, nullptr, WNOHANG) == pid_) {
+    record_.Line(name_ + " has ended");
+    pid_ = 0;
+  }
+  return pid_ <= 0;
+}
+
 stream_server::stream_server(record& out,
                              http::event_loop& loop,
                              platform_adapter::store_standin& store,
@@ -591,11 +606,31 @@
   return *clients.back();
 }
 
-// The clients are spread over the zones, and retries reach other nodes.
+std::vector<node_process*> stage::UsableIn(const std::string& zone) const {
+  std::vector<node_process*> known;
+  std::vector<node_process*> rotating;
+  for (const auto& node : nodes) {
+    if (node->zone() != zone)
+      continue;
+    known.push_back(node.get());
+    if (node->in_rotation)
+      rotating.push_back(node.get());
+  }
+  const bool is_minority = 2 * rotating.size() < known.size();
+  return is_minority && !rotating.empty() ? known : rotating;
+}
+
+// The clients are spread over the zones, or are in one. Retries reach other
+// nodes, if there are any.
 node_process* stage::Choose(int client,
                             int attempt,
                             const node_process* except) {
-  std::vector<node_process*> usable;
+  std::vector<node_process*> usable = UsableIn(client_zone);
+  if (usable.size() > 1)
+    std::erase(usable, except);
+  if (!usable.empty())
+    return usable[static_cast<std::size_t>(client + attempt * 3) %
+                  usable.size()];
   for (const auto& node : nodes) {
     if (node->in_rotation && node.get() != except)
       usable.push_back(node.get());
--- a/review/stage-2/stage.h
+++ b/review/stage-2/stage.h
@@ -60,6 +60,10 @@
   void Start();
   // Sends SIGKILL and waits for the end of the process.
   void Kill();
+  // Sends SIGTERM.
+  void Terminate();
+  // Whether the process has ended after SIGTERM.
+  bool HasEnded();
   bool is_running() const { return pid_ > 0; }
 
   const std::string& name() const { return name_; }
@@ -267,9 +271,13 @@
   std::vector<std::unique_ptr<node_process>> nodes;
   std::vector<std::unique_ptr<stream_server>> servers;
   std::vector<std::unique_ptr<stream_client>> clients;
+  // The zone of all clients; if empty, they are spread over the zones.
+  std::string client_zone;
 
  private:
   void Probe();
+  // The nodes to which the balancer sends clients of a zone.
+  std::vector<node_process*> UsableIn(const std::string& zone) const;
   void OnProbed(node_process& node, bool is_ready);
 
   std::string folder_;
