--- a/review/10/case.cc
+++ b/review/10/case.cc
@@ -15,6 +15,8 @@
 constexpr duration kGrace = Seconds(8);
 constexpr duration kContact = Seconds(3);
 constexpr duration kRestartDelay = Milliseconds(500);
+// Time between the two stops.
+constexpr duration kStopGap = Seconds(2);
 
 // Waits for the end of a node that was told to stop and starts it again.
 void StartAgain(stage& all, node_process& node) {
@@ -47,22 +49,25 @@
   all.client_zone = "mids-c";
   node_process& first = *all.nodes[6];
   node_process& second = *all.nodes[7];
+  // Between two probes of the balancer, so that the first node has left the
+  // rotation when the second one is stopped.
+  all.RunFor(Milliseconds(500));
+  const time_point began = boot_clock::now();
   if (HasTrouble("first"))
     first.Terminate();
-  all.RunUntil([&] { return !first.in_rotation; }, Milliseconds(2200));
+  all.RunUntil([&] { return !first.in_rotation; }, Milliseconds(1700));
   for (int i = 0; i < kStreams; ++i)
     all.AddClient(kEvents);
+  all.RunFor(began + kStopGap - boot_clock::now());
+  if (HasTrouble("second"))
+    second.Terminate();
   if (HasTrouble("first"))
     StartAgain(all, first);
   const time_point first_started = boot_clock::now();
-  all.RunUntil([&] { return first.in_rotation; }, Seconds(4));
-  all.RunFor(Milliseconds(300));
-  if (HasTrouble("second")) {
-    second.Terminate();
+  if (HasTrouble("second"))
     StartAgain(all, second);
-  } else {
+  else
     all.RunFor(kGrace);
-  }
   const bool is_in_touch = boot_clock::now() - first_started > kContact;
   std::vector<stream_client*> later;
   for (int i = 0; i < kNewStreams; ++i) {
