ORDER: refuse resumed streams of a version that left before a restart

Cause: which versions a service has had was kept in memory only. A node that has just started saw one version listed and took it for the only one for as long as streams last.

The versions of services that have several, and when each left by the store's clock, are now a row of the table jasminepath-versions. Each node reads the table at its start; the representative of a zone writes a row when its list shows more than the row. A node that has not read it yet refuses resumed streams as not run.

The age up to which versions count is now the longest time limit of any resumable route seen so far, so that a configuration which shortens one does not shorten the memory.

--- a/packages/gateway/include/jasminepath/gateway/ports.h
+++ b/packages/gateway/include/jasminepath/gateway/ports.h
@@ -179,6 +179,8 @@
   // Version of the table that the page reflects.
   revision version;
   bool more = false;
+  // The store's clock, in milliseconds; 0 if it does not state it.
+  int64_t store_time_ms = 0;
 
   friend bool operator==(const row_page&, const row_page&) = default;
 };
--- a/packages/gateway/src/call_context.h
+++ b/packages/gateway/src/call_context.h
@@ -16,6 +16,7 @@
 #include "prompt_part_suspects.h"
 #include "stop_admission.h"
 #include "stream_origins.h"
+#include "version_history.h"
 #include "wait_queue.h"
 
 namespace jasminepath::gateway {
@@ -49,6 +50,7 @@
   crash_suspects& suspects;
   prompt_part_suspects& part_suspects;
   stream_origins& origins;
+  const version_history& history;
   gateway_metrics& metrics;
   // The active configuration; null until the first one has been read.
   site_pointer site;
--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -24,8 +24,6 @@
 // requests that must not run twice use new connections only.
 constexpr duration kMaxIdleForNonRepeatableStream = Milliseconds(1000);
 constexpr duration kMaxIdleForRepeatable = Seconds(4);
-// Time by which nodes may differ in when they learn of an endpoint.
-constexpr duration kMaxListDelay = Seconds(2);
 constexpr duration kConnectTimeout = Milliseconds(500);
 // Timeout without data after which a repeatable request is sent to another
 // endpoint: a multiple of the route's objective, within bounds.
@@ -197,12 +195,14 @@
   if (stream_version_)
     return true;
   const software_versions& versions = context_.endpoints.versions();
-  const duration age = route_->timeout + kMaxListDelay;
+  const duration age = versions.span();
   const time_point now = boot_clock::now();
-  if (!versions.HasSeveral(service_, age, now))
+  const bool is_known = context_.history.is_known();
+  if (is_known && !versions.HasSeveral(service_, age, now))
     return true;
   // Streams that began with several versions are recorded.
-  stream_version_ = versions.FormerOnlyVersion(service_, age, now);
+  if (is_known)
+    stream_version_ = versions.FormerOnlyVersion(service_, age, now);
   if (stream_version_)
     return true;
   Refuse(503, "unknown_version", kDefaultRetryAfter);
--- a/packages/gateway/src/endpoint_pool.h
+++ b/packages/gateway/src/endpoint_pool.h
@@ -117,6 +117,7 @@
 
   std::shared_ptr<pooled_endpoint> Find(const endpoint_id& id) const;
   const software_versions& versions() const { return versions_; }
+  software_versions& versions() { return versions_; }
   // Entries of all endpoints that are currently listed.
   std::vector<endpoint_entry> Entries() const;
   // Running requests of this node by endpoint and model.
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -26,6 +26,8 @@
 // list and of the configuration.
 constexpr int64_t kEndpointReadersPerZone = 1;
 constexpr int64_t kSiteReadersPerZone = 2;
+// Number of nodes of a zone that write the version history.
+constexpr int64_t kVersionWritersPerZone = 1;
 // Number of nodes of a zone that watch the placement lease and may take it.
 constexpr int64_t kPlacementCandidatesPerZone = 1;
 // The endpoint list changes all the time; configuration changes have to take
@@ -56,7 +58,7 @@
 // Time between the last answers and the exit, so that the answers reach their
 // callers.
 constexpr duration kAnswerFlushTime = Milliseconds(200);
-// Maximum delay of a candidate for the placement lease.
+// Maximum delay of a node that other nodes compete with for a row of the store.
 constexpr int64_t kMaxCandidateDelayMs = 400;
 
 uint64_t DrawIncarnation() {
@@ -88,10 +90,14 @@
       retries_(settings.bounds.retry_share, settings.bounds.retry_reserve),
       suspects_(settings.node),
       part_suspects_(settings.node),
-      context_{loop_,    codec_,   log_,    endpoints_, limiter_,
-               retries_, queue_,   calls_,  suspects_,  part_suspects_,
-               origins_, metrics_, nullptr, {}},
       store_(loop_, store, codec_, log_),
+      version_history_(store_,
+                       endpoints_.versions(),
+                       CandidateDelay(settings.node),
+                       log_),
+      context_{loop_,    codec_,           log_,     endpoints_, limiter_,
+               retries_, queue_,           calls_,   suspects_,  part_suspects_,
+               origins_, version_history_, metrics_, nullptr,    {}},
       site_rows_(loop_,
                  store_,
                  codec_.configuration_table(),
@@ -312,6 +318,10 @@
   limiter_.SetTeams(next->teams(), boot_clock::now());
   order_dispatcher_.SetSite(*next);
   context_.stop.SetRoutes(next->routes());
+  for (const route& item : next->routes()) {
+    if (item.resumable)
+      endpoints_.versions().ExtendSpan(item.timeout + kMaxListDelay);
+  }
   queue_.WakeAll();
 }
 
@@ -622,6 +632,9 @@
   const int64_t rank = peers_.RankInZone(now);
   if (settled)
     ConfirmTables(rank, now);
+  version_history_.Tick(settled && rank < kVersionWritersPerZone &&
+                            endpoint_rows_.copy().is_initialized(),
+                        now);
   endpoint_rows_.SetPolling(settled && rank < kEndpointReadersPerZone);
   site_rows_.SetPolling(settled && rank < kSiteReadersPerZone);
   order_dispatcher_.SetCandidate(settled && rank < kPlacementCandidatesPerZone,
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -16,6 +16,7 @@
 #include "store_client.h"
 #include "table_follower.h"
 #include "table_relay.h"
+#include "version_history.h"
 #include "zone_summary.h"
 
 namespace jasminepath::gateway {
@@ -93,8 +94,9 @@
   crash_suspects suspects_;
   prompt_part_suspects part_suspects_;
   stream_origins origins_;
-  call_context context_;
   store_client store_;
+  version_history version_history_;
+  call_context context_;
   table_follower site_rows_;
   table_follower endpoint_rows_;
   endpoint_list endpoint_list_;
--- a/packages/gateway/src/software_versions.cc
+++ b/packages/gateway/src/software_versions.cc
@@ -3,13 +3,6 @@
 #include <algorithm>
 
 namespace jasminepath::gateway {
-namespace {
-
-// Time for which a version without endpoints is remembered: longer than any
-// stream lasts.
-constexpr duration kVersionMemory = Seconds(600);
-
-}  // namespace
 
 void software_versions::Add(const service_id& service,
                             const software_version& version) {
@@ -26,9 +19,10 @@
 
 void software_versions::Settle(time_point now) {
   for (auto& [service, state] : services_) {
-    std::erase_if(state.versions, [now](const auto& item) {
-      return item.second.endpoints <= 0 &&
-             now - item.second.last_listed_at > kVersionMemory;
+    std::erase_if(state.versions, [this, now](const auto& item) {
+      // Before the first configuration, the span is not known.
+      return span_ > duration::zero() && item.second.endpoints <= 0 &&
+             now - item.second.last_listed_at > memory();
     });
     const auto listed = std::count_if(
         state.versions.begin(), state.versions.end(),
@@ -47,6 +41,35 @@
   }
 }
 
+void software_versions::Restore(const service_id& service,
+                                const software_version& version,
+                                time_point left_at) {
+  version_use& use = services_[service].versions[version];
+  use.last_listed_at = std::max(use.last_listed_at, left_at);
+}
+
+std::vector<software_versions::listing> software_versions::Listings(
+    const service_id& service) const {
+  std::vector<listing> listings;
+  const auto found = services_.find(service);
+  if (found == services_.end())
+    return listings;
+  for (const auto& [version, use] : found->second.versions)
+    listings.push_back({version, use.endpoints > 0
+                                     ? std::nullopt
+                                     : std::optional(use.last_listed_at)});
+  return listings;
+}
+
+std::vector<service_id> software_versions::Services() const {
+  std::vector<service_id> services;
+  for (const auto& [service, state] : services_) {
+    if (!state.versions.empty())
+      services.push_back(service);
+  }
+  return services;
+}
+
 bool software_versions::HasSeveral(const service_id& service,
                                    duration age,
                                    time_point now) const {
--- a/packages/gateway/src/software_versions.h
+++ b/packages/gateway/src/software_versions.h
@@ -1,15 +1,20 @@
 #ifndef JASMINEPATH_GATEWAY_SRC_SOFTWARE_VERSIONS_H_
 #define JASMINEPATH_GATEWAY_SRC_SOFTWARE_VERSIONS_H_
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <vector>
 
 #include "jasminepath/base/boot_time.h"
 #include "jasminepath/base/ids.h"
 
 namespace jasminepath::gateway {
 
+// Time by which nodes may differ in when they learn of an endpoint.
+inline constexpr duration kMaxListDelay = Seconds(2);
+
 // The software versions that the endpoints of each service run or have run
 // lately. Does no I/O.
 class software_versions {
@@ -20,6 +25,20 @@
               time_point now);
   // Call after each batch of changes.
   void Settle(time_point now);
+  // Adds what is known from before this node's start: the last endpoint of the
+  // version left at `left_at`. Has no effect while the version has endpoints.
+  void Restore(const service_id& service,
+               const software_version& version,
+               time_point left_at);
+
+  // Takes into account that streams may be resumed until this age.
+  void ExtendSpan(duration max_stream_age) {
+    span_ = std::max(span_, max_stream_age);
+  }
+  // The maximum age of a stream that may be resumed.
+  duration span() const { return span_; }
+  // Time for which a version without endpoints is remembered.
+  duration memory() const { return 2 * span_; }
 
   // Whether the service has, or had within `age`, endpoints of several
   // versions.
@@ -32,6 +51,17 @@
                                                     duration age,
                                                     time_point now) const;
 
+  // A version that has endpoints, or had some until `left_at`.
+  struct listing {
+    software_version version;
+    std::optional<time_point> left_at;
+
+    friend bool operator==(const listing&, const listing&) = default;
+  };
+  std::vector<listing> Listings(const service_id& service) const;
+  // Services with at least one version.
+  std::vector<service_id> Services() const;
+
  private:
   struct version_use {
     int64_t endpoints = 0;
@@ -45,6 +75,7 @@
     std::optional<time_point> several_since;
   };
 
+  duration span_{};
   std::map<service_id, service_state> services_;
 };
 
--- a/packages/gateway/tests/software_versions_test.cc
+++ b/packages/gateway/tests/software_versions_test.cc
@@ -48,6 +48,27 @@
   BOOST_TEST(!versions.FormerOnlyVersion(service, kAge, now).has_value());
 }
 
+// Guards against a node that starts after the last endpoint of a version has
+// left and takes the remaining version for the only one that streams ran on.
+BOOST_FIXTURE_TEST_CASE(AVersionFromBeforeTheStartCounts, versions_fixture) {
+  versions.Restore(service, v1, now - Seconds(1));
+  versions.Add(service, v2);
+  versions.Settle(now);
+  BOOST_TEST(versions.HasSeveral(service, kAge, now + Seconds(8)));
+  BOOST_TEST(!versions.FormerOnlyVersion(service, kAge, now).has_value());
+  BOOST_TEST(!versions.HasSeveral(service, kAge, now + Seconds(10)));
+}
+
+BOOST_FIXTURE_TEST_CASE(ARestoredVersionWithEndpointsIsListed,
+                        versions_fixture) {
+  versions.Add(service, v1);
+  versions.Restore(service, v1, now - Seconds(1));
+  versions.Settle(now);
+  const auto listings = versions.Listings(service);
+  BOOST_REQUIRE(listings.size() == 1u);
+  BOOST_TEST(!listings[0].left_at.has_value());
+}
+
 // Streams of a version whose endpoints have all left may still be resumed.
 BOOST_FIXTURE_TEST_CASE(AVersionCountsForATimeAfterItsLastEndpoint,
                         versions_fixture) {
