LOST: ask other nodes for the version of a resumed stream

Cause: a stream's origin is announced once, to the nodes that run at that time. A node that starts later, or lost the datagram, refused the stream as of unknown version.

It now asks two nodes of its zone, then the representatives of the other zones. A reply states whether the replying node has received all origins, so that the absence of one is only believed where it means something. The node itself makes that inference only if its list is confirmed, it hears most of the nodes and neither has had a gap for as long as streams last. While a service has one version and the list is confirmed, nobody is asked. Nodes of earlier releases skip the new messages.

A call that waits with a resumed stream is bound to the version that the service had when it came, even if there was only one.

--- a/packages/gateway/include/jasminepath/gateway/peer_digest.h
+++ b/packages/gateway/include/jasminepath/gateway/peer_digest.h
@@ -218,11 +218,42 @@
   friend bool operator==(const stream_origin&, const stream_origin&) = default;
 };
 
+// Asks on which version a stream began that a caller resumes. Nodes of earlier
+// releases skip it.
+struct origin_query {
+  // The caller's request that brought the first event of the stream.
+  request_id attempt;
+  service_id service;
+
+  friend bool operator==(const origin_query&, const origin_query&) = default;
+};
+
+// What a node knows about the origin of a stream.
+enum class origin_knowledge {
+  recorded,        // It has received the origin.
+  unrecorded,      // It has received all origins; this stream has none.
+  unknown,         // It may have missed the origin.
+  unknown_of_one,  // Likewise, but it knows of only one version.
+};
+
+// The reply to an origin_query.
+struct origin_reply {
+  request_id attempt;
+  origin_knowledge knowledge = origin_knowledge::unknown;
+  // Set if `recorded`; if `unrecorded`, the version on which the service's
+  // streams without an origin began, or empty if there is none or are several.
+  software_version version;
+
+  friend bool operator==(const origin_reply&, const origin_reply&) = default;
+};
+
 using peer_message = std::variant<peer_digest,
                                   load_notice,
                                   table_changes,
                                   crash_report,
-                                  stream_origin>;
+                                  stream_origin,
+                                  origin_query,
+                                  origin_reply>;
 
 // A message with its delivery information.
 struct peer_envelope {
--- a/packages/gateway/src/call_context.h
+++ b/packages/gateway/src/call_context.h
@@ -16,7 +16,7 @@
 #include "prompt_part_suspects.h"
 #include "stop_admission.h"
 #include "stream_origins.h"
-#include "version_history.h"
+#include "stream_version_finder.h"
 #include "wait_queue.h"
 
 namespace jasminepath::gateway {
@@ -50,7 +50,7 @@
   crash_suspects& suspects;
   prompt_part_suspects& part_suspects;
   stream_origins& origins;
-  const version_history& history;
+  stream_version_finder& stream_versions;
   gateway_metrics& metrics;
   // The active configuration; null until the first one has been read.
   site_pointer site;
--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -129,10 +129,10 @@
     affinity_ = StableHash(affinity_key);
   }
   last_event_id_ = request_.last_event_id;
-  if (!FindStreamVersion())
-    return;
   reply_->OnClientDisconnect([this] { OnCallerDisconnect(); });
   StartDeadlineTimer();
+  if (last_event_id_ && route_->resumable)
+    return FindStreamVersion();
   Dispatch();
 }
 
@@ -187,26 +187,29 @@
   spec_ = site_->FindService(service_);
 }
 
-bool call_session::FindStreamVersion() {
-  if (!last_event_id_ || !route_->resumable)
-    return true;
-  if (request_.resumed_request)
-    stream_version_ = context_.origins.Find(*request_.resumed_request);
-  if (stream_version_)
-    return true;
-  const software_versions& versions = context_.endpoints.versions();
-  const duration age = versions.span();
-  const time_point now = boot_clock::now();
-  const bool is_known = context_.history.is_known();
-  if (is_known && !versions.HasSeveral(service_, age, now))
-    return true;
-  // Streams that began with several versions are recorded.
-  if (is_known)
-    stream_version_ = versions.FormerOnlyVersion(service_, age, now);
-  if (stream_version_)
-    return true;
-  Refuse(503, "unknown_version", kDefaultRetryAfter);
-  return false;
+void call_session::FindStreamVersion() {
+  context_.stream_versions.Find(
+      service_, request_.resumed_request.value_or(request_id()),
+      boot_clock::now(),
+      [weak = weak_from_this()](const stream_version& found) {
+        const auto self = weak.lock();
+        if (self && !self->ended_)
+          self->OnStreamVersion(found);
+      });
+}
+
+void call_session::OnStreamVersion(const stream_version& found) {
+  if (!found.version) {
+    context_.log.Write(
+        report::log_level::info, "stream_version_unknown",
+        {{"request", request_.id.value()},
+         {"reason", found.reason},
+         {"span_ms", ToMilliseconds(context_.endpoints.versions().span())},
+         {"list_age_ms", ToMilliseconds(found.list_age)}});
+    return Refuse(503, found.reason, kDefaultRetryAfter);
+  }
+  stream_version_ = found.version;
+  Dispatch();
 }
 
 model_id call_session::NeededModel() const {
--- a/packages/gateway/src/call_session.h
+++ b/packages/gateway/src/call_session.h
@@ -64,8 +64,10 @@
   bool Authorize();
   bool CheckRateLimit();
   // Finds out on which software version the stream began that the caller
-  // resumes. Refuses the call and returns false if that cannot be known.
-  bool FindStreamVersion();
+  // resumes, and then dispatches the call, or refuses it if that cannot be
+  // known.
+  void FindStreamVersion();
+  void OnStreamVersion(const stream_version& found);
   void ChooseService();
   endpoint_query MakeQuery() const;
   // The model that the endpoint must hold; empty for a service without models.
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -95,9 +95,18 @@
                        endpoints_.versions(),
                        CandidateDelay(settings.node),
                        log_),
+      stream_versions_(
+          endpoints_.versions(),
+          origins_,
+          [this](time_point now) { return Awareness(now); },
+          [this](const origin_query& query, int round) {
+            return peers_.Ask(query, round, StableHash(query.attempt.value()),
+                              boot_clock::now());
+          },
+          boot_clock::now()),
       context_{loop_,    codec_,           log_,     endpoints_, limiter_,
                retries_, queue_,           calls_,   suspects_,  part_suspects_,
-               origins_, version_history_, metrics_, nullptr,    {}},
+               origins_, stream_versions_, metrics_, nullptr,    {}},
       site_rows_(loop_,
                  store_,
                  codec_.configuration_table(),
@@ -445,10 +454,23 @@
   }
   if (const auto* origin = std::get_if<stream_origin>(&message))
     return origins_.Learn(*origin, boot_clock::now());
+  if (const auto* query = std::get_if<origin_query>(&message))
+    return OnOriginQuery(*query);
+  if (const auto* reply = std::get_if<origin_reply>(&message))
+    return stream_versions_.OnReply(*reply, boot_clock::now());
   ApplyNotice(std::get<load_notice>(message), boot_clock::now());
   queue_.WakeAll();
 }
 
+void gateway_node::OnOriginQuery(const origin_query& query) {
+  peers_.Reply(stream_versions_.Answer(query, boot_clock::now()));
+}
+
+node_awareness gateway_node::Awareness(time_point now) const {
+  return {version_history_.is_known(), endpoint_rows_.Age(now),
+          peers_.HearsMost(now)};
+}
+
 void gateway_node::ApplyNotice(const load_notice& notice, time_point now) {
   endpoints_.OnNotice(notice, now);
   if (notice.change == load_change::loading)
@@ -608,6 +630,7 @@
   const time_point now = boot_clock::now();
   peers_.Check(now);
   UpdateDuties(now);
+  stream_versions_.Check(now);
   if (peers_known_)
     limiter_.SetNodeCount(peers_.node_count());
   retries_.SetNodes(peers_.node_count());
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -57,6 +57,8 @@
   void OnDigest(const peer_digest& digest);
   void OnPeerGone(const vm_id& node);
   void OnNotice(const load_notice& notice);
+  void OnOriginQuery(const origin_query& query);
+  node_awareness Awareness(time_point now) const;
   peer_digest MakeDigest(time_point now);
   void SendDigest();
   void SendCrashReports(time_point now);
@@ -96,6 +98,7 @@
   stream_origins origins_;
   store_client store_;
   version_history version_history_;
+  stream_version_finder stream_versions_;
   call_context context_;
   table_follower site_rows_;
   table_follower endpoint_rows_;
--- a/packages/gateway/src/peer_digest.cc
+++ b/packages/gateway/src/peer_digest.cc
@@ -91,6 +91,18 @@
   visit(m.attempt, m.version);
 }
 
+template <typename Message, typename Visitor>
+requires std::is_same_v<std::remove_const_t<Message>, origin_query>
+void ForEachField(Message& m, Visitor&& visit) {
+  visit(m.attempt, m.service);
+}
+
+template <typename Message, typename Visitor>
+requires std::is_same_v<std::remove_const_t<Message>, origin_reply>
+void ForEachField(Message& m, Visitor&& visit) {
+  visit(m.attempt, m.knowledge, m.version);
+}
+
 using packer = msgpack::packer<msgpack::sbuffer>;
 
 template <typename T>
@@ -139,11 +151,21 @@
     Unpack(from.via.array.ptr[i], items[i]);
 }
 
-void Unpack(const msgpack::object& from, load_change& change) {
+// `last` is the enumerator with the highest value.
+template <typename Enum>
+void UnpackEnum(const msgpack::object& from, Enum last, Enum& value) {
   const auto number = from.as<int64_t>();
-  if (number < 0 || number > static_cast<int64_t>(load_change::closing))
+  if (number < 0 || number > static_cast<int64_t>(last))
     throw msgpack::type_error();
-  change = static_cast<load_change>(number);
+  value = static_cast<Enum>(number);
+}
+
+void Unpack(const msgpack::object& from, load_change& change) {
+  UnpackEnum(from, load_change::closing, change);
+}
+
+void Unpack(const msgpack::object& from, origin_knowledge& knowledge) {
+  UnpackEnum(from, origin_knowledge::unknown_of_one, knowledge);
 }
 
 template <typename T>
@@ -249,6 +271,12 @@
       case 4:
         return peer_envelope{UnpackMessage<stream_origin>(content),
                              broadcast_origin};
+      case 5:
+        return peer_envelope{UnpackMessage<origin_query>(content),
+                             broadcast_origin};
+      case 6:
+        return peer_envelope{UnpackMessage<origin_reply>(content),
+                             broadcast_origin};
       default:
         return std::nullopt;
     }
--- a/packages/gateway/src/peer_group.cc
+++ b/packages/gateway/src/peer_group.cc
@@ -30,6 +30,11 @@
 // representative is sent at once.
 constexpr std::size_t kMaxRepresentativesTried = 3;
 
+// Maximum number of nodes of this zone and of other zones that are asked a
+// question.
+constexpr std::size_t kMaxAskedInZone = 2;
+constexpr std::size_t kMaxAskedZones = 5;
+
 // Time without a digest after which a node with digest interval `interval`
 // counts as disconnected. Three digests may be lost on congested links.
 constexpr duration SilenceTimeout(duration interval) {
@@ -126,7 +131,11 @@
   }
   if (is_broadcast && envelope->broadcast_origin != self_)
     Forward(envelope->broadcast_origin, bytes);
-  if (from_other_zone && IsZoneRepresentative(boot_clock::now()))
+  const bool is_for_this_node_only =
+      std::holds_alternative<origin_query>(message) ||
+      std::holds_alternative<origin_reply>(message);
+  if (from_other_zone && !is_for_this_node_only &&
+      IsZoneRepresentative(boot_clock::now()))
     BroadcastFromOtherZone(message);
   if (on_message_)
     on_message_(message);
@@ -352,6 +361,52 @@
     SendBytes(EncodePeerMessage(message), found->second.address);
 }
 
+std::size_t peer_group::Ask(const peer_message& message,
+                            int round,
+                            uint64_t seed,
+                            time_point now) {
+  std::vector<std::pair<uint64_t, udp::endpoint>> receivers;
+  if (round == 0) {
+    for (const auto& [node, peer] : peers_) {
+      if (IsLive(peer, now))
+        receivers.emplace_back(MixHashes(StableHash(node.value()), seed),
+                               peer.address);
+    }
+  } else {
+    for (const auto& [zone, representative] : representatives_) {
+      if (IsReachable(representative, now))
+        receivers.emplace_back(MixHashes(StableHash(zone.value()), seed),
+                               representative.address);
+    }
+  }
+  std::sort(receivers.begin(), receivers.end());
+  const std::size_t max_receivers =
+      round == 0 ? kMaxAskedInZone : kMaxAskedZones;
+  receivers.resize(std::min(receivers.size(), max_receivers));
+  const std::string bytes = EncodePeerMessage(message);
+  for (const auto& [hash, address] : receivers)
+    SendBytes(bytes, address);
+  return receivers.size();
+}
+
+void peer_group::Reply(const peer_message& message) {
+  SendBytes(EncodePeerMessage(message), sender_);
+}
+
+bool peer_group::HearsMost(time_point now) const {
+  int64_t heard = 1;
+  for (const auto& [node, peer] : peers_) {
+    if (peer.zone == zone_ && peer.last_received_at != time_point{} &&
+        now - peer.last_received_at <= peer.silence_timeout)
+      ++heard;
+  }
+  for (const auto& [zone, representative] : representatives_) {
+    if (now - representative.last_received_at <= representative.silence_timeout)
+      heard += representative.nodes;
+  }
+  return 2 * heard >= node_count();
+}
+
 bool peer_group::IsReachable(const zone_representative& representative,
                              time_point now) const {
   // The address is unset for a zone whose digests have only been received
--- a/packages/gateway/src/peer_group.h
+++ b/packages/gateway/src/peer_group.h
@@ -120,6 +120,20 @@
                       const vm_id& holder,
                       time_point now);
   void SendTo(const vm_id& node, const peer_message& message);
+  // Sends a question to some of the nodes that would know the answer if they
+  // are well informed: in round 0 to nodes of this zone, in round 1 to
+  // representatives of other zones. Which ones depends on `seed`. Returns their
+  // number.
+  std::size_t Ask(const peer_message& message,
+                  int round,
+                  uint64_t seed,
+                  time_point now);
+  // Sends the message to the sender of the one that is being received.
+  void Reply(const peer_message& message);
+
+  // Whether this node receives digests that cover at least half of the nodes it
+  // knows, including itself.
+  bool HearsMost(time_point now) const;
 
   // Number of live nodes of the zone that rank before this one. The node with
   // rank 0 represents the zone.
--- a/packages/gateway/src/software_versions.cc
+++ b/packages/gateway/src/software_versions.cc
@@ -94,4 +94,16 @@
   return found->second.only_version;
 }
 
+std::optional<software_version> software_versions::VersionOfUnrecorded(
+    const service_id& service,
+    time_point now) const {
+  if (HasSeveral(service, span_, now))
+    return FormerOnlyVersion(service, span_, now);
+  for (const listing& item : Listings(service)) {
+    if (!item.left_at || now - *item.left_at < span_)
+      return item.version;
+  }
+  return std::nullopt;
+}
+
 }  // namespace jasminepath::gateway
--- a/packages/gateway/src/software_versions.h
+++ b/packages/gateway/src/software_versions.h
@@ -45,6 +45,10 @@
   bool HasSeveral(const service_id& service,
                   duration age,
                   time_point now) const;
+  // The version on which a stream began whose origin was not recorded although
+  // none was lost; nullopt if that is not certain.
+  std::optional<software_version> VersionOfUnrecorded(const service_id& service,
+                                                      time_point now) const;
   // The version that streams ran on while the service had only one, if that
   // ended within `age`: that of a stream about which nothing else is known.
   std::optional<software_version> FormerOnlyVersion(const service_id& service,
--- a/packages/gateway/tests/peer_digest_test.cc
+++ b/packages/gateway/tests/peer_digest_test.cc
@@ -151,6 +151,13 @@
   const stream_origin origin{request_id("9c41"), software_version("v2")};
   BOOST_TEST((DecodePeerMessage(EncodePeerMessage(origin, vm_id("n"))) ==
               peer_envelope{origin, vm_id("n")}));
+  const origin_query query{request_id("9c41"), service_id("loom")};
+  BOOST_TEST((DecodePeerMessage(EncodePeerMessage(query)) ==
+              peer_envelope{query, {}}));
+  const origin_reply reply{request_id("9c41"), origin_knowledge::unrecorded,
+                           software_version("v2")};
+  BOOST_TEST((DecodePeerMessage(EncodePeerMessage(reply)) ==
+              peer_envelope{reply, {}}));
   for (std::size_t length = 0; length < bytes.size(); ++length)
     BOOST_TEST(!DecodePeerMessage(bytes.substr(0, length)));
   BOOST_TEST(!DecodePeerMessage("nonsense"));
