LOST: record origins of streams for as long as they are asked for

Cause: origins were recorded while several versions were listed, but asked for as long as streams last after that. The state that named the former only version was reset at the same time.

software_versions now keeps for each version from when to when it was listed, and recording and asking follow from the same intervals.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -524,7 +524,7 @@
   const time_point now = boot_clock::now();
   // A resumed stream is known under the caller's first request.
   if (!request_.last_event_id &&
-      context_.endpoints.versions().HasSeveral(service_, duration::zero(), now))
+      context_.endpoints.versions().RecordsOrigins(service_, now))
     context_.origins.Begin({request_.id, *stream_version_}, now);
 }
 
--- a/packages/gateway/src/endpoint_pool.cc
+++ b/packages/gateway/src/endpoint_pool.cc
@@ -81,7 +81,7 @@
                           duration grace,
                           time_point now) {
   for (const endpoint_entry& entry : changes.listed)
-    AddOrUpdate(entry);
+    AddOrUpdate(entry, now);
   for (const endpoint_id& id : changes.removed) {
     if (Find(id))
       missing_.try_emplace(id, now + grace);
@@ -90,7 +90,7 @@
   versions_.Settle(now);
 }
 
-void endpoint_pool::AddOrUpdate(const endpoint_entry& entry) {
+void endpoint_pool::AddOrUpdate(const endpoint_entry& entry, time_point now) {
   const auto address = http::ParseEndpoint(entry.address);
   const auto known = Find(entry.id);
   const bool restarted =
@@ -99,7 +99,7 @@
                 known->entry.version != entry.version ||
                 known->entry.service != entry.service);
   if (!address || restarted)
-    Remove(entry.id);
+    Remove(entry.id, now);
   if (!address)
     return;
   auto& pooled = endpoints_[entry.id];
@@ -107,7 +107,7 @@
     pooled = std::make_shared<pooled_endpoint>();
     pooled->client = std::make_unique<http::client>(loop_, address.value());
     by_service_[entry.service].insert(entry.id);
-    versions_.Add(entry.service, entry.version);
+    versions_.Add(entry.service, entry.version, now);
   }
   if (pooled->entry.models != entry.models) {
     std::erase_if(pooled->closing_notices, [&](const auto& item) {
@@ -126,14 +126,14 @@
   missing_.erase(entry.id);
 }
 
-void endpoint_pool::Remove(const endpoint_id& id) {
+void endpoint_pool::Remove(const endpoint_id& id, time_point now) {
   const auto found = endpoints_.find(id);
   if (found == endpoints_.end())
     return;
   opened_by_removed_ += found->second->client->opened_connections();
   by_service_[found->second->entry.service].erase(id);
   versions_.Remove(found->second->entry.service, found->second->entry.version,
-                   boot_clock::now());
+                   now);
   missing_.erase(id);
   // Later lookups erase the id from by_model_.
   endpoints_.erase(found);
@@ -146,7 +146,7 @@
       gone.push_back(id);
   }
   for (const endpoint_id& id : gone)
-    Remove(id);
+    Remove(id, now);
 }
 
 void endpoint_pool::OnNotice(const load_notice& notice, time_point now) {
--- a/packages/gateway/src/endpoint_pool.h
+++ b/packages/gateway/src/endpoint_pool.h
@@ -143,8 +143,8 @@
 
   using endpoint_pointer = std::shared_ptr<pooled_endpoint>;
 
-  void AddOrUpdate(const endpoint_entry& entry);
-  void Remove(const endpoint_id& id);
+  void AddOrUpdate(const endpoint_entry& entry, time_point now);
+  void Remove(const endpoint_id& id, time_point now);
   // Subtracts the running requests that the peer has reported.
   void RemovePeerUsage(const vm_id& node);
   // Available endpoints that are ready for the query.
--- a/packages/gateway/tests/stream_version_finder_test.cc
+++ b/packages/gateway/tests/stream_version_finder_test.cc
@@ -15,7 +15,7 @@
 struct finder_fixture {
   finder_fixture() {
     versions.ExtendSpan(kSpan);
-    versions.Add(service, v1);
+    versions.Add(service, v1, now);
     versions.Settle(now);
     Pass(kSpan + Seconds(1));
   }
@@ -28,7 +28,7 @@
     }
   }
   void AddSecondVersion() {
-    versions.Add(service, v2);
+    versions.Add(service, v2, now);
     versions.Settle(now);
   }
   // The answer, or nullopt while the question is in progress.
