--- a/packages/http/src/client_connection.cc
+++ b/packages/http/src/client_connection.cc
@@ -154,9 +154,11 @@
   if (sink_ == nullptr)
     return Close();
   // An answer without a length is complete only if the peer closed the
-  // connection in an orderly way.
-  if (error == asio::error::eof && head_seen_ && !skipping_answer_ &&
-      parser_->need_eof()) {
+  // connection in an orderly way. That is not known while the request is being
+  // written: a failed write takes the error of a reset, after which the read
+  // ends as if the peer had closed.
+  if (error == asio::error::eof && written_ && head_seen_ &&
+      !skipping_answer_ && parser_->need_eof()) {
     error_code end_error;
     parser_->put_eof(end_error);
     if (!end_error) {
