MIXED: reject answers whose status is not from 100 to 599

A caller could get bytes that are no answer: an endpoint in trouble sends status 000 and more bytes behind that answer.

Cause: the client took each status below 200 for an interim answer, skipped 000, 001 and 099 with their bodies, and took what followed for the answer; 600 and 999 were passed on. packages/endpoint did the same with what POCO reads as a number, such as 99 or -20, and accepted another protocol's name.

Both readers now take statuses from 100 to 599 only; anything else is malformed, so the attempt may have run and its connection is closed.

--- a/packages/endpoint/src/exchange.cc
+++ b/packages/endpoint/src/exchange.cc
@@ -15,6 +15,7 @@
 
 #include "body_decoder.h"
 #include "connection.h"
+#include "head_syntax.h"
 
 namespace jasminepath::endpoint {
 namespace {
@@ -68,6 +69,8 @@
 }
 
 std::optional<response_head> ParseHead(std::string_view text) {
+  if (!HasValidStatusLine(text))
+    return std::nullopt;
   std::istringstream stream{std::string(text)};
   Poco::Net::HTTPResponse parsed;
   try {
--- a/packages/http/src/client_connection.cc
+++ b/packages/http/src/client_connection.cc
@@ -28,6 +28,11 @@
 // Limit on answers to other requests and interim answers.
 constexpr std::size_t kMaxBytesBeforeAnswer = std::size_t{1} << 20;
 
+// Range of the status of an answer, and the lowest one that is not interim.
+constexpr unsigned kLowestStatus = 100;
+constexpr unsigned kLowestFinalStatus = 200;
+constexpr unsigned kHighestStatus = 599;
+
 using user_timeout =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -206,7 +211,12 @@
 bool client_connection::HandleHead() {
   head_seen_ = true;
   const auto& message = parser_->get();
-  if (message.result_int() < 200)
+  if (message.result_int() < kLowestStatus ||
+      message.result_int() > kHighestStatus) {
+    Fail(call_failure::malformed);
+    return false;
+  }
+  if (message.result_int() < kLowestFinalStatus)
     return true;
   response_head head;
   head.status = static_cast<int>(message.result_int());
@@ -230,7 +240,8 @@
 }
 
 bool client_connection::IsDelivering() const {
-  return head_seen_ && !skipping_answer_ && parser_->get().result_int() >= 200;
+  return head_seen_ && !skipping_answer_ &&
+         parser_->get().result_int() >= kLowestFinalStatus;
 }
 
 void client_connection::DeliverBody() {
@@ -243,7 +254,7 @@
 }
 
 void client_connection::HandleEnd() {
-  if (parser_->get().result_int() < 200 || skipping_answer_) {
+  if (parser_->get().result_int() < kLowestFinalStatus || skipping_answer_) {
     const bool reusable = parser_->keep_alive();
     if (!reusable)
       return Fail(call_failure::broken);
