LOST: keep the origins of streams in the store during a release

Callers lost their streams when all nodes were restarted while a service had two software versions: nobody knew any more which stream was of which, and all were refused, 7 s after the nodes were back.

Cause: origins were in the memory of nodes only.

While a service has, or had within the span, several versions, each node writes the origins of its streams to a row of its own, at most every 0.4 s and without making a stream wait; the nodes together write at most 100 times a second. A node that starts reads the rows if a service had several versions. With one version there is neither a write nor a read.

--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -95,6 +95,11 @@
                        endpoints_.versions(),
                        CandidateDelay(settings.node),
                        log_),
+      origin_history_(settings.node,
+                      store_,
+                      endpoints_.versions(),
+                      origins_,
+                      log_),
       stream_versions_(
           endpoints_.versions(),
           origins_,
@@ -179,7 +184,9 @@
   peers_.OnGone([this](const vm_id& node) { OnPeerGone(node); });
   origins_.OnBegun([this](const stream_origin& origin) {
     peers_.BroadcastInZone(origin);
-    peers_.SendToOtherZones(origin, boot_clock::now());
+    const time_point now = boot_clock::now();
+    peers_.SendToOtherZones(origin, now);
+    origin_history_.Add(origin, now);
   });
   order_dispatcher_.OnNotice(
       [this](const load_notice& notice) { OnNotice(notice); });
@@ -467,8 +474,8 @@
 }
 
 node_awareness gateway_node::Awareness(time_point now) const {
-  return {version_history_.is_known(), endpoint_rows_.Age(now),
-          peers_.HearsMost(now)};
+  return {version_history_.is_known() && origin_history_.is_known(),
+          endpoint_rows_.Age(now), peers_.HearsMost(now)};
 }
 
 void gateway_node::ApplyNotice(const load_notice& notice, time_point now) {
@@ -630,6 +637,9 @@
   const time_point now = boot_clock::now();
   peers_.Check(now);
   UpdateDuties(now);
+  origin_history_.Tick(
+      version_history_.is_known() && endpoint_rows_.copy().is_initialized(),
+      peers_.node_count(), now);
   stream_versions_.Check(now);
   if (peers_known_)
     limiter_.SetNodeCount(peers_.node_count());
--- a/packages/gateway/src/gateway_node.h
+++ b/packages/gateway/src/gateway_node.h
@@ -12,6 +12,7 @@
 #include "jasminepath/gateway/gateway_app.h"
 #include "jasminepath/http/server.h"
 #include "order_dispatcher.h"
+#include "origin_history.h"
 #include "peer_group.h"
 #include "store_client.h"
 #include "table_follower.h"
@@ -98,6 +99,7 @@
   stream_origins origins_;
   store_client store_;
   version_history version_history_;
+  origin_history origin_history_;
   stream_version_finder stream_versions_;
   call_context context_;
   table_follower site_rows_;
--- a/packages/gateway/src/stream_version_finder.h
+++ b/packages/gateway/src/stream_version_finder.h
@@ -17,7 +17,7 @@
 
 // How well this node is informed, as of one moment.
 struct node_awareness {
-  // The versions from before this node's start are known.
+  // The versions and origins from before this node's start are known.
   bool knows_history = false;
   // Time since this node's endpoint list was known to be up to date.
   duration list_age{};
