Origin history: bound a node's row by its size

A row was bounded by the number of streams, so that long ids or versions could have made it larger than the store takes, and it would never have been written again. Streams that have become too old are dropped as new ones come.

--- a/packages/gateway/src/origin_history.cc
+++ b/packages/gateway/src/origin_history.cc
@@ -16,8 +16,15 @@
 constexpr duration kMinWriteInterval = Milliseconds(400);
 constexpr int64_t kMaxWritesPerSecond = 100;
 constexpr duration kRetryDelay = Milliseconds(400);
-// The newest streams that a row holds, which then has less than 64 KB.
-constexpr std::size_t kMaxOrigins = 800;
+// Limit on a row, which holds the newest streams, and what a stream takes of it
+// besides its texts.
+constexpr std::size_t kMaxRowBytes = 48 * 1024;
+constexpr std::size_t kBytesPerOrigin = 8;
+
+std::size_t SizeInRow(const stream_origin& origin) {
+  return origin.attempt.value().size() + origin.version.value().size() +
+         kBytesPerOrigin;
+}
 
 }  // namespace
 
@@ -66,7 +73,7 @@
       log_(log) {}
 
 void origin_history::Add(const stream_origin& origin, time_point now) {
-  own_.emplace_back(now, origin);
+  AddOwn(origin, now);
   is_unwritten_ = true;
 }
 
@@ -128,19 +135,22 @@
   for (const stream_origin& origin : read.value()) {
     origins_.Learn(origin, now);
     if (row.key == self_.value())
-      own_.emplace_back(now, origin);
+      AddOwn(origin, now);
   }
   read_origins_ += static_cast<int64_t>(read.value().size());
 }
 
-void origin_history::DropOld(time_point now) {
-  while (!own_.empty() && (own_.size() > kMaxOrigins ||
-                           now - own_.front().first > versions_.span()))
+void origin_history::AddOwn(const stream_origin& origin, time_point now) {
+  own_.emplace_back(now, origin);
+  own_bytes_ += SizeInRow(origin);
+  while (!own_.empty() && (own_bytes_ > kMaxRowBytes ||
+                           now - own_.front().first > versions_.span())) {
+    own_bytes_ -= SizeInRow(own_.front().second);
     own_.pop_front();
+  }
 }
 
 void origin_history::Write(time_point now) {
-  DropOld(now);
   std::vector<stream_origin> origins;
   origins.reserve(own_.size());
   for (const auto& [begun_at, origin] : own_)
--- a/packages/gateway/src/origin_history.h
+++ b/packages/gateway/src/origin_history.h
@@ -1,6 +1,7 @@
 #ifndef JASMINEPATH_GATEWAY_SRC_ORIGIN_HISTORY_H_
 #define JASMINEPATH_GATEWAY_SRC_ORIGIN_HISTORY_H_
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <string>
@@ -53,7 +54,8 @@
   void Write(time_point now);
   void OnWritten(const store_answer& answer);
   bool HasServiceWithSeveral(time_point now) const;
-  void DropOld(time_point now);
+  // Adds a stream of this node and drops those that are too old or too many.
+  void AddOwn(const stream_origin& origin, time_point now);
 
   vm_id self_;
   store_client& store_;
@@ -68,6 +70,7 @@
   // Streams that began at this node, in the order of their time, including
   // those that its row has from before its start.
   std::deque<std::pair<time_point, stream_origin>> own_;
+  std::size_t own_bytes_ = 0;
   // `own_` has changed since the last write.
   bool is_unwritten_ = false;
   duration write_interval_{};
