ORDER: streams that begin at a cut-off node go on where others expect them

- Streams that begin at a node which is cut off from the others have an origin that nobody receives.
The others took them for streams from before the second version, and went on at the wrong one.
Such a node now begins streams at the version that the others infer, if there is one.
Gaps now count for the services that recorded origins at that time, and a node that was stopped counts as one with an outdated list.
ANodeThatMissedMessagesInfersNothing has its gap while there are two versions, as it was meant; the other order is AGapBeforeTheSecondVersionMissesNothing, which now holds.

--- a/packages/gateway/src/call_session.cc
+++ b/packages/gateway/src/call_session.cc
@@ -234,6 +234,9 @@
   query.model = NeededModel();
   query.tie_break_seed = StableHash(request_.id.value());
   query.version = stream_version_;
+  if (!stream_version_ && route_->resumable)
+    query.version =
+        context_.stream_versions.RequiredVersion(service_, boot_clock::now());
   if (spec_ != nullptr && spec_->engine) {
     query.adapter = request_.adapter;
     query.affinity = affinity_;
--- a/packages/gateway/src/gateway_node.cc
+++ b/packages/gateway/src/gateway_node.cc
@@ -475,7 +475,7 @@
 
 node_awareness gateway_node::Awareness(time_point now) const {
   return {version_history_.is_known() && origin_history_.is_known(),
-          endpoint_rows_.Age(now), peers_.HearsMost(now)};
+          endpoint_rows_.Age(now), peers_known_ && peers_.HearsMost(now)};
 }
 
 void gateway_node::ApplyNotice(const load_notice& notice, time_point now) {
--- a/packages/gateway/src/stream_version_finder.cc
+++ b/packages/gateway/src/stream_version_finder.cc
@@ -50,12 +50,13 @@
          (!list_gap_at_ || now - *list_gap_at_ > versions_.span());
 }
 
-bool stream_version_finder::KnowsOrigins(time_point now) const {
+bool stream_version_finder::KnowsOrigins(const service_id& service,
+                                         time_point now) const {
   const node_awareness awareness = awareness_(now);
-  return IsListCurrent(awareness, now) && awareness.hears_most &&
-         now - started_at_ > versions_.span() &&
-         (!list_gap_at_ || now - *list_gap_at_ > versions_.span()) &&
-         (!message_gap_at_ || now - *message_gap_at_ > versions_.span());
+  const auto missed = missed_origins_at_.find(service);
+  return KnowsVersions(awareness, now) && awareness.hears_most &&
+         (missed == missed_origins_at_.end() ||
+          now - missed->second > versions_.span());
 }
 
 void stream_version_finder::Find(const service_id& service,
@@ -130,7 +131,7 @@
 std::optional<software_version> stream_version_finder::Infer(
     const question& asked,
     time_point now) const {
-  if (!IsSingle(asked, now) && !KnowsOrigins(now))
+  if (!IsSingle(asked, now) && !KnowsOrigins(asked.service, now))
     return std::nullopt;
   return versions_.VersionOfUnrecorded(asked.service, now);
 }
@@ -143,11 +144,19 @@
          !versions_.HasSeveral(asked.service, versions_.span(), now);
 }
 
+std::optional<software_version> stream_version_finder::RequiredVersion(
+    const service_id& service,
+    time_point now) const {
+  if (!versions_.RecordsOrigins(service, now) || awareness_(now).hears_most)
+    return std::nullopt;
+  return versions_.VersionOfUnrecorded(service, now);
+}
+
 origin_reply stream_version_finder::Answer(const origin_query& query,
                                            time_point now) const {
   if (auto version = origins_.Find(query.attempt))
     return {query.attempt, origin_knowledge::recorded, *version};
-  if (KnowsOrigins(now)) {
+  if (KnowsOrigins(query.service, now)) {
     const auto version = versions_.VersionOfUnrecorded(query.service, now);
     return {query.attempt, origin_knowledge::unrecorded,
             version.value_or(software_version())};
@@ -186,13 +195,7 @@
 }
 
 void stream_version_finder::Check(time_point now) {
-  const node_awareness awareness = awareness_(now);
-  if (awareness.list_age <= kMaxListAge)
-    had_current_list_ = true;
-  else if (had_current_list_ && awareness.list_age > kMaxListDelay)
-    list_gap_at_ = now;
-  if (now - checked_at_ > kMaxCheckPause || !awareness.hears_most)
-    message_gap_at_ = now;
+  RecordGaps(now);
   checked_at_ = now;
   std::vector<request_id> attempts;
   attempts.reserve(pending_.size());
@@ -202,6 +205,22 @@
     Advance(attempt, now);
 }
 
+void stream_version_finder::RecordGaps(time_point now) {
+  const node_awareness awareness = awareness_(now);
+  if (awareness.list_age <= kMaxListAge)
+    had_current_list_ = true;
+  const bool has_outdated_list =
+      had_current_list_ && awareness.list_age > kMaxListDelay;
+  if (has_outdated_list || now - checked_at_ > kMaxCheckPause)
+    list_gap_at_ = now;
+  if (awareness.hears_most)
+    return;
+  for (const service_id& service : versions_.Services()) {
+    if (versions_.RecordsOrigins(service, now))
+      missed_origins_at_[service] = now;
+  }
+}
+
 void stream_version_finder::Resolve(const request_id& attempt,
                                     const stream_version& found) {
   auto node = pending_.extract(attempt);
--- a/packages/gateway/src/stream_version_finder.h
+++ b/packages/gateway/src/stream_version_finder.h
@@ -66,6 +66,12 @@
             time_point now,
             callback done);
 
+  // The only version on which a stream may begin at this node, if any: while
+  // the others may not receive its origin, it has to be the one that they take
+  // a stream without an origin for.
+  std::optional<software_version> RequiredVersion(const service_id& service,
+                                                  time_point now) const;
+
   // What this node replies to another one.
   origin_reply Answer(const origin_query& query, time_point now) const;
   void OnReply(const origin_reply& reply, time_point now);
@@ -100,9 +106,9 @@
   // Whether the service can have no other version than those in this node's
   // list and history.
   bool KnowsVersions(const node_awareness& awareness, time_point now) const;
-  // Whether this node has received the origins of all streams that may be
-  // resumed.
-  bool KnowsOrigins(time_point now) const;
+  // Whether this node has received the origins of all streams of the service
+  // that may be resumed.
+  bool KnowsOrigins(const service_id& service, time_point now) const;
   // The version that follows without an origin, after the question has ended.
   std::optional<software_version> Infer(const question& asked,
                                         time_point now) const;
@@ -111,6 +117,9 @@
   bool IsSingle(const question& asked, time_point now) const;
   void Ask(const request_id& attempt, question& asked, time_point now);
   void Advance(const request_id& attempt, time_point now);
+  // Notices that the list is outdated, that this process was stopped or that
+  // messages of other nodes may be missed.
+  void RecordGaps(time_point now);
   void Resolve(const request_id& attempt, const stream_version& found);
 
   const software_versions& versions_;
@@ -119,11 +128,11 @@
   sender send_;
   time_point started_at_;
   time_point checked_at_;
-  // When this node last had an outdated list, and when it may last have missed
-  // messages of other nodes.
   bool had_current_list_ = false;
+  // When this node last had an outdated list or was stopped.
   std::optional<time_point> list_gap_at_;
-  std::optional<time_point> message_gap_at_;
+  // When origins of the service may last have been missed.
+  std::map<service_id, time_point> missed_origins_at_;
   std::map<request_id, question> pending_;
   int64_t asked_ = 0;
 };
--- a/packages/gateway/tests/stream_version_finder_test.cc
+++ b/packages/gateway/tests/stream_version_finder_test.cc
@@ -123,10 +123,10 @@
 // Guards against a node that has started since and takes a stream without a
 // known origin for one of the version that it saw first.
 BOOST_FIXTURE_TEST_CASE(ANodeThatMissedMessagesInfersNothing, finder_fixture) {
+  AddSecondVersion();
   awareness.hears_most = false;
   Pass(Seconds(1));
   awareness.hears_most = true;
-  AddSecondVersion();
   Find();
   Pass(Milliseconds(300));
   BOOST_TEST(IsRefused());
@@ -170,6 +170,18 @@
   BOOST_TEST(HasFound(v1));
 }
 
+// While its list is current and has one version, a node can miss no origin.
+BOOST_FIXTURE_TEST_CASE(AGapBeforeTheSecondVersionMissesNothing,
+                        finder_fixture) {
+  awareness.hears_most = false;
+  Pass(Seconds(1));
+  awareness.hears_most = true;
+  AddSecondVersion();
+  Find();
+  Pass(Milliseconds(300));
+  BOOST_TEST(HasFound(v1));
+}
+
 BOOST_FIXTURE_TEST_CASE(ANodeThatKnowsOfAnotherVersionIsBelieved,
                         finder_fixture) {
   awareness.list_age = Seconds(4);
