--- a/packages/gateway/src/peer_group.cc
+++ b/packages/gateway/src/peer_group.cc
@@ -30,10 +30,11 @@
 // representative is sent at once.
 constexpr std::size_t kMaxRepresentativesTried = 3;
 
-// Maximum number of nodes of this zone and of other zones that are asked a
-// question.
+// Maximum number of nodes that are asked a question: of this zone, of each
+// other zone, and of all other zones.
 constexpr std::size_t kMaxAskedInZone = 2;
-constexpr std::size_t kMaxAskedZones = 5;
+constexpr std::size_t kMaxAskedOfZone = 2;
+constexpr std::size_t kMaxAskedElsewhere = 6;
 
 // Time without a digest after which a node with digest interval `interval`
 // counts as disconnected. Three digests may be lost on congested links.
@@ -365,30 +366,54 @@
                             int round,
                             uint64_t seed,
                             time_point now) {
-  std::vector<std::pair<uint64_t, udp::endpoint>> receivers;
-  if (round == 0) {
-    for (const auto& [node, peer] : peers_) {
-      if (IsLive(peer, now))
-        receivers.emplace_back(MixHashes(StableHash(node.value()), seed),
-                               peer.address);
-    }
-  } else {
-    for (const auto& [zone, representative] : representatives_) {
-      if (IsReachable(representative, now))
-        receivers.emplace_back(MixHashes(StableHash(zone.value()), seed),
-                               representative.address);
-    }
-  }
-  std::sort(receivers.begin(), receivers.end());
-  const std::size_t max_receivers =
-      round == 0 ? kMaxAskedInZone : kMaxAskedZones;
-  receivers.resize(std::min(receivers.size(), max_receivers));
+  const auto receivers =
+      round == 0 ? AskedInZone(seed, now) : AskedInOtherZones(seed, now);
   const std::string bytes = EncodePeerMessage(message);
-  for (const auto& [hash, address] : receivers)
+  for (const udp::endpoint& address : receivers)
     SendBytes(bytes, address);
   return receivers.size();
 }
 
+std::vector<udp::endpoint> peer_group::AskedInZone(uint64_t seed,
+                                                   time_point now) const {
+  std::map<uint64_t, udp::endpoint> ordered;
+  for (const auto& [node, peer] : peers_) {
+    if (IsLive(peer, now))
+      ordered[MixHashes(StableHash(node.value()), seed)] = peer.address;
+  }
+  std::vector<udp::endpoint> receivers;
+  for (const auto& [hash, address] : ordered) {
+    if (receivers.size() < kMaxAskedInZone)
+      receivers.push_back(address);
+  }
+  return receivers;
+}
+
+// Only a zone's representative receives digests of other zones directly. The
+// other nodes know those zones by their registered nodes, which may be gone.
+std::vector<udp::endpoint> peer_group::AskedInOtherZones(uint64_t seed,
+                                                         time_point now) const {
+  std::map<zone_id, std::map<uint64_t, udp::endpoint>> ordered;
+  for (const auto& [node, peer] : peers_) {
+    if (peer.zone != zone_ && !peer.zone.empty())
+      ordered[peer.zone][MixHashes(StableHash(node.value()), seed)] =
+          peer.address;
+  }
+  for (const auto& [zone, representative] : representatives_) {
+    if (IsReachable(representative, now))
+      ordered[zone] = {{0, representative.address}};
+  }
+  std::vector<udp::endpoint> receivers;
+  for (const auto& [zone, nodes] : ordered) {
+    std::size_t asked = 0;
+    for (const auto& [hash, address] : nodes) {
+      if (asked++ < kMaxAskedOfZone && receivers.size() < kMaxAskedElsewhere)
+        receivers.push_back(address);
+    }
+  }
+  return receivers;
+}
+
 void peer_group::Reply(const peer_message& message) {
   SendBytes(EncodePeerMessage(message), sender_);
 }
--- a/packages/gateway/src/peer_group.h
+++ b/packages/gateway/src/peer_group.h
@@ -121,9 +121,8 @@
                       time_point now);
   void SendTo(const vm_id& node, const peer_message& message);
   // Sends a question to some of the nodes that would know the answer if they
-  // are well informed: in round 0 to nodes of this zone, in round 1 to
-  // representatives of other zones. Which ones depends on `seed`. Returns their
-  // number.
+  // are well informed: in round 0 to nodes of this zone, in round 1 to nodes of
+  // other zones. Which ones depends on `seed`. Returns their number.
   std::size_t Ask(const peer_message& message,
                   int round,
                   uint64_t seed,
@@ -155,6 +154,11 @@
   const std::map<vm_id, peer_state>& peers() const { return peers_; }
 
  private:
+  std::vector<boost::asio::ip::udp::endpoint> AskedInZone(uint64_t seed,
+                                                          time_point now) const;
+  std::vector<boost::asio::ip::udp::endpoint> AskedInOtherZones(
+      uint64_t seed,
+      time_point now) const;
   void Receive();
   void OnDatagram(std::size_t length);
   // Whether the sender of the last datagram is known to be in another zone;
--- a/packages/gateway/tests/peer_group_test.cc
+++ b/packages/gateway/tests/peer_group_test.cc
@@ -78,6 +78,8 @@
   }
   int CrashReportsAt(std::size_t i) const { return nodes_[i]->crash_reports; }
   int NoticesAt(std::size_t i) const { return nodes_[i]->notices; }
+  int QueriesAt(std::size_t i) const { return nodes_[i]->queries; }
+  int RepliesAt(std::size_t i) const { return nodes_[i]->replies; }
 
   // Index of the node that node `i` regards as its zone's representative.
   std::size_t RepresentativeOf(std::size_t i) const {
@@ -130,6 +132,8 @@
     peer_group peers;
     int notices = 0;
     int crash_reports = 0;
+    int queries = 0;
+    int replies = 0;
     std::vector<peer_digest> digests;
     std::vector<table_changes> changes;
   };
@@ -147,6 +151,12 @@
         ++started.notices;
       if (std::holds_alternative<crash_report>(message))
         ++started.crash_reports;
+      if (std::holds_alternative<origin_query>(message))
+        ++started.queries;
+      if (std::holds_alternative<origin_reply>(message))
+        ++started.replies;
+      if (const auto* query = std::get_if<origin_query>(&message))
+        started.peers.Reply(origin_reply{query->attempt, {}, {}});
       if (const auto* digest = std::get_if<peer_digest>(&message))
         started.digests.push_back(*digest);
       if (const auto* changes = std::get_if<table_changes>(&message))
@@ -201,6 +211,33 @@
     BOOST_TEST(zone.NoticesAt(i) == 1);
 }
 
+// Guards against nodes that ask nobody, or everybody, about a stream. A node
+// that doesn't represent its zone knows other zones by their nodes only.
+BOOST_AUTO_TEST_CASE(QuestionsGoToAFewNodesAndAreAnswered) {
+  constexpr int kNodesPerZone = 6;
+  peers_fixture peers({kNodesPerZone, kNodesPerZone, kNodesPerZone});
+  peers.ExchangeDigests();
+  const std::size_t asking = 0;
+  BOOST_TEST_REQUIRE(peers.RepresentativeOf(asking) != asking);
+  const origin_query query{request_id("r"), service_id("s")};
+  const auto queries = [&peers](std::size_t first, std::size_t last) {
+    int count = 0;
+    for (std::size_t i = first; i < last; ++i)
+      count += peers.QueriesAt(i);
+    return count;
+  };
+  BOOST_TEST(peers.At(asking).Ask(query, 0, 1, boot_clock::now()) == 2u);
+  peers.RunUntilIdle();
+  BOOST_TEST(queries(0, kNodesPerZone) == 2);
+  BOOST_TEST(queries(kNodesPerZone, peers.size()) == 0);
+  BOOST_TEST(peers.RepliesAt(asking) == 2);
+  BOOST_TEST(peers.At(asking).Ask(query, 1, 1, boot_clock::now()) == 4u);
+  peers.RunUntilIdle();
+  BOOST_TEST(queries(kNodesPerZone, 2 * kNodesPerZone) == 2);
+  BOOST_TEST(queries(2 * kNodesPerZone, peers.size()) == 2);
+  BOOST_TEST(peers.RepliesAt(asking) == 6);
+}
+
 // Guards against fetches by all nodes when changes do not fit into one
 // datagram.
 BOOST_AUTO_TEST_CASE(LargeChangesAreSplitIntoDatagrams) {
