--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not
-# run. TROUBLE=0 leaves the drill out. Writes record.txt beside this file.
+# run. With TROUBLE=0 the request does no harm. Writes record.txt beside this file.
 set -u
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/bin/jasminepathd ] && [ -x target/review-3/stage ] || exit 2
--- a/review/stage-3/main.cc
+++ b/review/stage-3/main.cc
@@ -72,7 +72,11 @@
 // The deployment: 8 nodes in 3 zones, 3 servers of a plain service, and 6
 // model servers.
 struct deployment {
-  deployment(const std::string& folder, const std::string& file)
+  // Model servers crash on requests with `deadly_body`, if any.
+  deployment(const std::string& folder,
+             const std::string& file,
+             const std::string& deadly_body,
+             bool crashes_before_head)
       : log(file), platform(log) {
     platform.Put("op", "config", Configuration(7, true, false));
     static const char* const kZones[] = {"mids-a", "mids-b", "mids-c"};
@@ -87,7 +91,8 @@
                  .slots = 64,
                  .is_engine = true,
                  .models = {"m" + std::to_string(i % 4)},
-                 .deadly_body = HasTrouble() ? kDeadlyBody : ""});
+                 .deadly_body = deadly_body,
+                 .crashes_before_head = crashes_before_head});
     SleepMs(1000);
     nodes = std::make_unique<fleet>(folder, platform.address(), log);
     callers = std::make_unique<clients>(*nodes, log);
@@ -348,6 +353,61 @@
                 (broken ? "ONE broken:" : "ONE held:") + verdict);
 }
 
+call_options DeadlyRequest() {
+  call_options deadly;
+  deadly.what = "deadly";
+  deadly.method = "POST";
+  deadly.path = "/draft/d";
+  deadly.key = kStableKey;
+  deadly.model = "m0";
+  deadly.body = kDeadlyBody;
+  deadly.last_part = "dead1e55";
+  return deadly;
+}
+
+struct deadly_count {
+  // Requests that crash servers: sent, and those sent later than contactMs
+  // after the third crash that reached a server.
+  int64_t sent = 0;
+  int64_t late = 0;
+  // All others, and those that had run and got no whole answer.
+  int64_t sound = 0;
+  int64_t sound_lost = 0;
+  std::string text;
+};
+
+deadly_count CountDeadly(deployment& site) {
+  std::vector<int64_t> crashes;
+  std::set<std::string> ran;
+  for (const server_event& event : site.runs.All()) {
+    if (event.status == kCrashed)
+      crashes.push_back(event.at);
+    if (!event.request.empty())
+      ran.insert(event.request);
+  }
+  const int64_t judged_from =
+      crashes.size() < 3 ? NowMs() : crashes[2] + kContactMs;
+  deadly_count count;
+  for (const call_result& call : site.callers->All()) {
+    if (call.what == "sound") {
+      ++count.sound;
+      count.sound_lost += call.status != 200 && ran.contains(call.id) ? 1 : 0;
+      continue;
+    }
+    ++count.sent;
+    count.late += call.sent_at > judged_from && ran.contains(call.id) ? 1 : 0;
+  }
+  count.text = "the request was sent " + std::to_string(count.sent) +
+               " times and crashed " + std::to_string(crashes.size()) +
+               " servers; " + std::to_string(count.late) +
+               " retries sent more than contactMs after the third crash "
+               "reached a server; of " +
+               std::to_string(count.sound) + " other requests " +
+               std::to_string(count.sound_lost) +
+               " had run and got no whole answer";
+  return count;
+}
+
 // One request crashes each server that runs it, after the first event of its
 // answer, and comes again at any machine.
 int PlayDeadly(deployment& site) {
@@ -364,63 +424,76 @@
     });
   }
   SleepMs(4000);
-  call_options deadly;
-  deadly.what = "deadly";
-  deadly.method = "POST";
-  deadly.path = "/draft/d";
-  deadly.key = kStableKey;
-  deadly.model = "m0";
-  deadly.body = kDeadlyBody;
+  const call_options deadly = DeadlyRequest();
   for (std::size_t i = 0; i < 24; ++i) {
     site.callers->Once(i % site.nodes->size(), deadly);
     SleepMs(1200);
   }
   SleepMs(3000);
-  std::vector<int64_t> crashes;
-  for (const server_event& event : site.runs.All()) {
-    if (event.status == kCrashed)
-      crashes.push_back(event.at);
-  }
-  std::set<std::string> ran;
-  for (const server_event& event : site.runs.All()) {
-    if (!event.request.empty())
-      ran.insert(event.request);
+  const deadly_count count = CountDeadly(site);
+  if (count.sent < 20 || count.sound < 300)
+    return Finish(site, kCouldNotRun, "too few requests: " + count.text);
+  const bool broken = count.late > 3;
+  return Finish(site, broken ? kBroken : kHeld,
+                (broken ? "BUDGET broken: " : "BUDGET held: ") + count.text);
+}
+
+// A request that crashes servers before they answer comes again at one node,
+// which refuses it after the third crash and is then restarted, twice.
+int PlayForgotten(deployment& site) {
+  std::atomic<int>& next = *new std::atomic<int>(0);
+  for (std::size_t i = 0; i < site.nodes->size(); ++i) {
+    site.callers->Start(i, 300, [&next] {
+      call_options call;
+      call.what = "sound";
+      call.method = "POST";
+      call.path = "/draft/s";
+      call.key = kStableKey;
+      call.model = "m" + std::to_string(next++ % 4);
+      return call;
+    });
   }
-  const int64_t judged_from =
-      crashes.size() < 3 ? NowMs() : crashes[2] + kContactMs;
-  int64_t late = 0;
-  int64_t sent = 0;
-  int64_t sound = 0;
-  int64_t sound_lost = 0;
-  for (const call_result& call : site.callers->All()) {
-    if (call.what == "sound") {
-      ++sound;
-      // Broken off by a server after it had run the request.
-      sound_lost += call.status != 200 && ran.contains(call.id) ? 1 : 0;
-      continue;
+  SleepMs(4000);
+  constexpr std::size_t kNode = 0;
+  const call_options deadly = DeadlyRequest();
+  // Sends the request while the node is in touch: it has run for longer than
+  // contactMs and was not told to stop.
+  const auto send_for = [&](int64_t ms) {
+    const int64_t until = NowMs() + ms;
+    while (NowMs() < until) {
+      if (site.nodes->IsInRotation(kNode) &&
+          NowMs() - site.nodes->started_at(kNode) > kContactMs + 200)
+        site.callers->Once(kNode, deadly);
+      SleepMs(1200);
     }
-    ++sent;
-    late += call.sent_at > judged_from && ran.contains(call.id) ? 1 : 0;
+  };
+  send_for(14000);
+  for (int restarts = 0; restarts < 2; ++restarts) {
+    if (HasTrouble()) {
+      SleepMs(1000);
+      site.nodes->Stop(kNode);
+      SleepMs(6000);
+    }
+    send_for(14000);
   }
-  const std::string verdict =
-      "the request was sent " + std::to_string(sent) + " times and crashed " +
-      std::to_string(crashes.size()) + " servers; " + std::to_string(late) +
-      " retries sent more than contactMs after the third crash reached a "
-      "server; of " +
-      std::to_string(sound) + " other requests " + std::to_string(sound_lost) +
-      " had run and got no whole answer";
-  if (sent < 20 || sound < 300)
-    return Finish(site, kCouldNotRun, "too few requests: " + verdict);
-  const bool broken = late > 3;
+  SleepMs(3000);
+  const deadly_count count = CountDeadly(site);
+  if (count.sent < 15 || count.sound < 300)
+    return Finish(site, kCouldNotRun, "too few requests: " + count.text);
+  const bool broken = count.late > 3;
   return Finish(site, broken ? kBroken : kHeld,
-                (broken ? "BUDGET broken: " : "BUDGET held: ") + verdict);
+                (broken ? "BUDGET broken: " : "BUDGET held: ") + count.text);
 }
 
 int Play(const std::string& scenario,
          const std::string& folder,
          const std::string& file) {
   // Never destroyed, because threads of stand-ins and clients go on.
-  deployment& site = *new deployment(folder, file);
+  const bool is_forgotten = scenario == "forgotten";
+  const bool has_deadly =
+      is_forgotten || (scenario == "deadly" && HasTrouble());
+  deployment& site = *new deployment(
+      folder, file, has_deadly ? kDeadlyBody : "", is_forgotten);
   if (!site.WaitUntilReady())
     return Finish(site, kCouldNotRun, "the nodes were not ready in 15 s");
   site.log.Line("all nodes ready");
@@ -430,6 +503,8 @@
     return PlayDrain(site);
   if (scenario == "deadly")
     return PlayDeadly(site);
+  if (scenario == "forgotten")
+    return PlayForgotten(site);
   if (scenario == "holders")
     return PlayHolders(site);
   return Finish(site, kCouldNotRun, "no such scenario");
--- a/review/stage-3/stage.h
+++ b/review/stage-3/stage.h
@@ -356,9 +356,10 @@
     std::vector<std::string> on_disk = {};
     int64_t load_ms = 400;
     int64_t work_ms = 20;
-    // A request with this body crashes the server while it runs it, after the
-    // first event of its answer.
+    // A request with this body crashes the server while it runs it: after the
+    // first event of its answer, or before the answer's head.
     std::string deadly_body = {};
+    bool crashes_before_head = false;
     int64_t down_ms = 3000;
   };
 
@@ -506,6 +507,12 @@
     SleepMs(settings_.work_ms);
     if (!settings_.is_engine)
       return to.Write(Answer(200, "answer to " + id, head));
+    const bool is_deadly =
+        !settings_.deadly_body.empty() && request.body == settings_.deadly_body;
+    if (is_deadly && settings_.crashes_before_head) {
+      Crash();
+      return false;
+    }
     if (!to.Write("HTTP/1.1 200 OK\r\n" + head +
                   "Content-Type: text/event-stream\r\n"
                   "Transfer-Encoding: chunked\r\n\r\n"))
@@ -518,8 +525,7 @@
       std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
       if (!to.Write(size + text + "\r\n"))
         return false;
-      if (!settings_.deadly_body.empty() &&
-          request.body == settings_.deadly_body) {
+      if (is_deadly) {
         SleepMs(30);
         Crash();
         return false;
@@ -858,6 +864,8 @@
   std::string path;
   std::string key;
   std::string model;
+  // The last part of the prompt; if empty, one of its own.
+  std::string last_part;
   std::string body = "{}";
   int64_t wait_ms = 4000;
 };
@@ -920,10 +928,13 @@
         " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + result.id +
         "\r\nDeadline-Ms: " + std::to_string(options.wait_ms) +
         "\r\nX-Api-Key: " + options.key + "\r\n";
+    const std::string last_part = options.last_part.empty()
+                                      ? "9" + result.id.substr(8)
+                                      : options.last_part;
     if (!options.model.empty())
       request += "Model: " + options.model +
-                 "\r\nToken-Count: 100,20\r\nPrompt-Prefix: 5c:60,9" +
-                 std::to_string(last_id_ % 1000) + ":40\r\n";
+                 "\r\nToken-Count: 100,20\r\nPrompt-Prefix: 5c:60," +
+                 last_part + ":40\r\n";
     if (options.method == "POST")
       request += "Content-Length: " + std::to_string(options.body.size()) +
                  "\r\n\r\n" + options.body;
