--- a/review/stage-3/main.cc
+++ b/review/stage-3/main.cc
@@ -18,6 +18,9 @@
 constexpr int64_t kBackToConfigurationMs = 1500;
 // From the holder's SIGTERM to the drill; less than the age of the copy.
 constexpr int64_t kRestartToDrillMs = 4000;
+// From the store's return to the loss of power, and how long nodes are down.
+constexpr int64_t kBackToPowerLossMs = 2000;
+constexpr int64_t kDarkMs = 1000;
 // From the store's return to the next planned restart.
 constexpr int64_t kBackToRestartMs = 1500;
 
@@ -41,6 +44,10 @@
       R"("service":"loom","kind":"streaming","timeoutMs":4000,)"
       R"("targetLatencyMs":800,"gapAimMs":500,"priority":1,"maxAttempts":2,)"
       R"("resumable":true,"sticky":true},)"
+      R"({"name":"access","host":"shop.example","pathPrefix":"/access/",)"
+      R"("service":"loom","kind":"streaming","timeoutMs":13000,)"
+      R"("targetLatencyMs":2000,"gapAimMs":500,"priority":1,"maxAttempts":2,)"
+      R"("resumable":true,"sticky":true},)"
       R"({"name":"draft","host":"shop.example","pathPrefix":"/draft/",)"
       R"("service":"loom","kind":"streaming","timeoutMs":4000,)"
       R"("targetLatencyMs":800,"gapAimMs":500,"priority":1,"maxAttempts":1,)"
@@ -76,7 +83,8 @@
   deployment(const std::string& folder,
              const std::string& file,
              const std::string& deadly_body,
-             bool crashes_before_head)
+             bool crashes_before_head,
+             bool has_two_versions)
       : log(file), platform(log) {
     platform.Put("op", "config", Configuration(7, true, false));
     static const char* const kZones[] = {"mids-a", "mids-b", "mids-c"};
@@ -88,9 +96,13 @@
       AddServer({.id = "loom-" + std::to_string(i),
                  .service = "loom",
                  .zone = kZones[i % 3],
+                 .version = has_two_versions && i >= 3 ? "42" : "41",
                  .slots = 64,
                  .is_engine = true,
-                 .models = {"m" + std::to_string(i % 4)},
+                 .models = has_two_versions
+                               ? std::vector<std::string>{"m0"}
+                               : std::vector<std::string>{"m" + std::to_string(
+                                                                    i % 4)},
                  .deadly_body = deadly_body,
                  .crashes_before_head = crashes_before_head});
     SleepMs(1000);
@@ -223,51 +235,6 @@
                 (broken ? "CONFIG broken: " : "CONFIG held: ") + verdict);
 }
 
-// A server leaves after the drill; the store, stable again, acknowledges it.
-int PlayDrain(deployment& site) {
-  for (std::size_t i = 0; i < site.nodes->size(); ++i) {
-    for (int k = 0; k < 3; ++k)
-      site.callers->Start(
-          i, 100, [] { return StockLook("stable", "/stock/a", kStableKey); });
-  }
-  SleepMs(10000);
-  if (HasTrouble())
-    site.platform.Drill(kAwayMs, kCopyAgeMs);
-  else
-    SleepMs(kAwayMs);
-  SleepMs(kContactMs + 200);
-  server& leaving = *site.servers[0];
-  const auto acknowledged = leaving.LeaveUnannounced();
-  const int64_t acknowledged_at = NowMs();
-  if (!acknowledged)
-    return Finish(site, kCouldNotRun, "the store did not take the removal");
-  site.log.Line("store acknowledged that " + leaving.id() +
-                " is gone at version " + std::to_string(*acknowledged));
-  SleepMs(kDrainMs + 8000);
-  int64_t late = 0;
-  int64_t latest = 0;
-  int64_t elsewhere = 0;
-  for (const server_event& event : site.runs.All()) {
-    if (event.request.empty() || event.at < acknowledged_at + kDrainMs)
-      continue;
-    if (event.server == leaving.id()) {
-      ++late;
-      latest = event.at - acknowledged_at;
-    } else {
-      ++elsewhere;
-    }
-  }
-  const std::string verdict =
-      std::to_string(late) +
-      " requests reached the server that is gone later " +
-      "than drainMs after the ack, the last one " + std::to_string(latest) +
-      " ms after it; " + std::to_string(elsewhere) + " reached others";
-  if (elsewhere < 100)
-    return Finish(site, kCouldNotRun, "too few requests: " + verdict);
-  return Finish(site, late > 0 ? kBroken : kHeld,
-                (late > 0 ? "DRAIN broken: " : "DRAIN held: ") + verdict);
-}
-
 // Counts, for each server and epoch number, the holders whose orders it took.
 std::string FindSharedEpochs(deployment& site, bool* broken) {
   std::map<std::pair<std::string, int64_t>, std::set<std::string>> holders;
@@ -485,6 +452,139 @@
                 (broken ? "BUDGET broken: " : "BUDGET held: ") + count.text);
 }
 
+// Number of the last whole event in a stream's bytes, 0 if there is none.
+int LastEvent(const std::string& body) {
+  int last = 0;
+  for (std::size_t at = body.find("id: "); at != std::string::npos;
+       at = body.find("id: ", at + 1)) {
+    if (body.find("\n\n", at) != std::string::npos)
+      last = std::atoi(body.c_str() + at + 4);
+  }
+  return last;
+}
+
+// The software version of the server that wrote the events.
+std::string VersionIn(const std::string& body) {
+  const std::size_t at = body.find(" version ");
+  return at == std::string::npos ? "" : body.substr(at + 1, 10);
+}
+
+// Streams begin at two software versions. The store comes back from a copy made
+// before that; 2 s later all nodes lose power.
+int PlayStreams(deployment& site) {
+  constexpr int kStreams = 32;
+  constexpr int kTries = 3;
+  std::atomic<int>& taken_up = *new std::atomic<int>(0);
+  std::atomic<int>& gone_on = *new std::atomic<int>(0);
+  std::atomic<int>& mixed = *new std::atomic<int>(0);
+  std::atomic<int>& whole = *new std::atomic<int>(0);
+  std::atomic<int>& begun = *new std::atomic<int>(0);
+  std::atomic<int>& tried = *new std::atomic<int>(0);
+  std::atomic<int64_t>& take_up_at = *new std::atomic<int64_t>(0);
+  call_options stream;
+  stream.what = "stream";
+  stream.method = "POST";
+  stream.path = "/access/s";
+  stream.key = kStableKey;
+  stream.model = "m0";
+  stream.wait_ms = 13000;
+  for (std::size_t i = 0; i < site.nodes->size(); ++i) {
+    site.callers->Start(i, 300, [] {
+      call_options call;
+      call.what = "sound";
+      call.method = "POST";
+      call.path = "/draft/s";
+      call.key = kStableKey;
+      call.model = "m0";
+      return call;
+    });
+  }
+  SleepMs(5000);
+  for (int i = 0; i < kStreams; ++i) {
+    std::thread([&, stream, i] {
+      call_result first;
+      const std::size_t nodes = site.nodes->size();
+      const int64_t began = NowMs();
+      const http_message answer =
+          site.callers->Ask(static_cast<std::size_t>(i) % nodes, stream, first);
+      const int last = LastEvent(answer.body);
+      if (last >= 38) {
+        ++whole;
+        return;
+      }
+      if (last == 0)
+        return;
+      while (take_up_at == 0 || NowMs() < take_up_at)
+        SleepMs(20);
+      ++taken_up;
+      // Another node of the client's zone.
+      for (int k = 1; k <= kTries; ++k) {
+        call_options again = stream;
+        again.what = "taken-up";
+        again.wait_ms = began + stream.wait_ms - NowMs();
+        again.headers = "Last-Event-Id: " + std::to_string(last) +
+                        "\r\nResumes: " + first.id + "\r\n";
+        call_result next;
+        const http_message rest = site.callers->Ask(
+            (static_cast<std::size_t>(i) + static_cast<std::size_t>(k) * 3) %
+                nodes,
+            again, next);
+        if (LastEvent(rest.body) > last) {
+          site.log.Line("stream " + first.id + " " + VersionIn(answer.body) +
+                        " went on as " + next.id + " " + VersionIn(rest.body));
+          if (VersionIn(answer.body) != VersionIn(rest.body))
+            ++mixed;
+          ++gone_on;
+          return;
+        }
+        SleepMs(static_cast<int64_t>(
+            1000 * std::atof(rest.Header("Retry-After").c_str())));
+      }
+    }).detach();
+    SleepMs(60);
+  }
+  SleepMs(500);
+  if (HasTrouble())
+    site.platform.Drill(kAwayMs, kCopyAgeMs);
+  else
+    SleepMs(kAwayMs);
+  SleepMs(kBackToPowerLossMs);
+  site.nodes->KillAll(kDarkMs);
+  // All nodes have run, and the store has been stable, for over contactMs.
+  SleepMs(kDarkMs + kContactMs + 500);
+  take_up_at = NowMs();
+  for (std::size_t i = 0; i < site.nodes->size(); ++i) {
+    if (NowMs() - site.nodes->started_at(i) <= kContactMs)
+      return Finish(site, kCouldNotRun, "a node started late");
+  }
+  for (int i = 0; i < 24; ++i) {
+    std::thread([&, stream, i] {
+      call_options fresh = stream;
+      fresh.what = "new";
+      fresh.wait_ms = 3000;
+      call_result result;
+      ++tried;
+      const http_message answer = site.callers->Ask(
+          static_cast<std::size_t>(i) % site.nodes->size(), fresh, result);
+      if (LastEvent(answer.body) > 0)
+        ++begun;
+    }).detach();
+    SleepMs(60);
+  }
+  SleepMs(6000);
+  const std::string verdict =
+      "of " + std::to_string(taken_up) + " streams taken up " +
+      std::to_string(gone_on) + " went on (" + std::to_string(mixed) +
+      " at another version), of " + std::to_string(tried) + " new ones " +
+      std::to_string(begun) + " began";
+  if (taken_up < 12 || begun < 12 || !site.nodes->AreAllReady())
+    return Finish(site, kCouldNotRun, "too few streams: " + verdict);
+  // The share that goes on is under half of the share of new ones.
+  const bool broken = 2 * gone_on * tried < begun * taken_up;
+  return Finish(site, broken ? kBroken : kHeld,
+                (broken ? "LOST broken: " : "LOST held: ") + verdict);
+}
+
 int Play(const std::string& scenario,
          const std::string& folder,
          const std::string& file) {
@@ -492,19 +592,20 @@
   const bool is_forgotten = scenario == "forgotten";
   const bool has_deadly =
       is_forgotten || (scenario == "deadly" && HasTrouble());
-  deployment& site = *new deployment(
-      folder, file, has_deadly ? kDeadlyBody : "", is_forgotten);
+  deployment& site =
+      *new deployment(folder, file, has_deadly ? kDeadlyBody : "", is_forgotten,
+                      scenario == "streams");
   if (!site.WaitUntilReady())
     return Finish(site, kCouldNotRun, "the nodes were not ready in 15 s");
   site.log.Line("all nodes ready");
   if (scenario == "configuration")
     return PlayConfiguration(site);
-  if (scenario == "drain")
-    return PlayDrain(site);
   if (scenario == "deadly")
     return PlayDeadly(site);
   if (scenario == "forgotten")
     return PlayForgotten(site);
+  if (scenario == "streams")
+    return PlayStreams(site);
   if (scenario == "holders")
     return PlayHolders(site);
   return Finish(site, kCouldNotRun, "no such scenario");
--- a/review/stage-3/stage.h
+++ b/review/stage-3/stage.h
@@ -517,10 +517,13 @@
                   "Content-Type: text/event-stream\r\n"
                   "Transfer-Encoding: chunked\r\n\r\n"))
       return false;
-    for (int event = 1; event <= 4; ++event) {
+    const std::string last = request.Header("Last-Event-Id");
+    const int first = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
+    const bool is_long = target.rfind("/access/", 0) == 0;
+    for (int event = first; event <= (is_long ? 38 : 4); ++event) {
       const std::string text = "id: " + std::to_string(event) +
                                "\ndata: " + id + " " + std::to_string(event) +
-                               "\n\n";
+                               " version " + settings_.version + "\n\n";
       char size[16];
       std::snprintf(size, sizeof(size), "%zx\r\n", text.size());
       if (!to.Write(size + text + "\r\n"))
@@ -530,7 +533,7 @@
         Crash();
         return false;
       }
-      SleepMs(15);
+      SleepMs(is_long ? 300 : 15);
     }
     return to.Write("0\r\n\r\n");
   }
@@ -679,6 +682,17 @@
     }).detach();
   }
 
+  // SIGKILL to all at once; they are started again after `dark_ms`.
+  void KillAll(int64_t dark_ms) {
+    restart_delay_ms_ = dark_ms;
+    log_.Line("SIGKILL to all nodes");
+    for (const auto& each : nodes_) {
+      const pid_t pid = each->pid;
+      if (pid > 0)
+        kill(pid, SIGKILL);
+    }
+  }
+
   void End() {
     is_ending_ = true;
     for (const auto& each : nodes_) {
@@ -800,29 +814,32 @@
     log_.Line("started " + of.name);
   }
 
-  // Runs in the thread that starts processes again, so that a death signal of
-  // the parent thread cannot end them early: the thread lives as long as this
-  // process.
+  // The thread that starts processes again lives as long as this process, so
+  // that their death signal comes with its end only.
   void Supervise() {
+    std::map<node*, int64_t> due;
     while (true) {
       int status = 0;
       const pid_t ended = waitpid(-1, &status, WNOHANG);
-      if (ended <= 0) {
-        SleepMs(20);
-        continue;
-      }
       for (const auto& each : nodes_) {
-        if (each->pid != ended)
+        if (ended <= 0 || each->pid != ended)
           continue;
         each->pid = 0;
         log_.Line("ended " + each->name + " status " +
                   std::to_string(WIFEXITED(status) ? WEXITSTATUS(status)
                                                    : -WTERMSIG(status)));
-        if (is_ending_)
+        due[each.get()] = NowMs() + restart_delay_ms_;
+      }
+      for (auto next = due.begin(); next != due.end() && !is_ending_;) {
+        if (NowMs() < next->second) {
+          ++next;
           continue;
-        SleepMs(300);
-        Start(*each);
+        }
+        Start(*next->first);
+        next = due.erase(next);
       }
+      if (ended <= 0)
+        SleepMs(20);
     }
   }
 
@@ -846,6 +863,7 @@
   record& log_;
   int base_port_ = 0;
   std::vector<std::unique_ptr<node>> nodes_;
+  std::atomic<int64_t> restart_delay_ms_{300};
   std::atomic<bool> is_ending_{false};
 };
 
@@ -867,6 +885,8 @@
   // The last part of the prompt; if empty, one of its own.
   std::string last_part;
   std::string body = "{}";
+  // Further header lines.
+  std::string headers;
   int64_t wait_ms = 4000;
 };
 
@@ -891,6 +911,17 @@
     }).detach();
   }
 
+  // Sends one request on a new channel and returns what has arrived of its
+  // answer. Fills in the id and the status.
+  http_message Ask(std::size_t node,
+                   const call_options& options,
+                   call_result& result) {
+    std::unique_ptr<channel> own;
+    http_message answer;
+    Call(node, options, own, &result, &answer);
+    return answer;
+  }
+
   // Sends one request on a new channel.
   void Once(std::size_t node, const call_options& options) {
     std::thread([this, node, options] {
@@ -909,7 +940,9 @@
  private:
   void Call(std::size_t node,
             const call_options& options,
-            std::unique_ptr<channel>& kept) {
+            std::unique_ptr<channel>& kept,
+            call_result* copy_result = nullptr,
+            http_message* copy_answer = nullptr) {
     if (!kept) {
       const int fd = Connect(nodes_.ip(node), nodes_.front_port());
       if (fd < 0)
@@ -927,7 +960,7 @@
         options.method + " " + options.path +
         " HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: " + result.id +
         "\r\nDeadline-Ms: " + std::to_string(options.wait_ms) +
-        "\r\nX-Api-Key: " + options.key + "\r\n";
+        "\r\nX-Api-Key: " + options.key + "\r\n" + options.headers;
     const std::string last_part = options.last_part.empty()
                                       ? "9" + result.id.substr(8)
                                       : options.last_part;
@@ -952,6 +985,10 @@
     if (result.status == 0 ||
         strcasecmp(answer.Header("Connection").c_str(), "close") == 0)
       kept.reset();
+    if (copy_result != nullptr)
+      *copy_result = result;
+    if (copy_answer != nullptr)
+      *copy_answer = answer;
     const std::lock_guard lock(mutex_);
     results_.push_back(std::move(result));
   }
